Build the edge router on sockets round the decision module

The program: a core that maps requests and attempts to the module's events and actions and knows no socket, a front for client frames, a back for the stores' lines, a feed for the change log. Parsers and state machines are fed bytes; Tornado's IOStream does the reading and writing.

--- /dev/null
+++ b/magpieshift/__init__.py
@@ -0,0 +1,6 @@
+"""An edge router for caches that fill from parent caches and an origin."""
+
+from magpieshift.app import EdgeRouter
+from magpieshift.config import Config, ConfigError, load, parse
+
+__all__ = ["Config", "ConfigError", "EdgeRouter", "load", "parse"]
--- /dev/null
+++ b/magpieshift/app.py
@@ -0,0 +1,125 @@
+"""Wiring, readiness and shutdown: one edge router, to be embedded or run by ``python -m magpieshift``."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Mapping, Sequence
+
+from magpieshift.back.pool import Pool
+from magpieshift.clock import LoopClock
+from magpieshift.config import Config, ConfigError, load
+from magpieshift.core.engine import Engine
+from magpieshift.core.model import Member
+from magpieshift.feed.changes import ChangeLog
+from magpieshift.feed.client import FeedClient
+from magpieshift.front.server import FrontServer, listen_socket
+from magpieshift.log import fields, setup
+from molecleat import interface as api
+
+log = logging.getLogger(__name__)
+
+RESERVED = 48  # descriptors for the listener, the change log, the log, the event loop and what is closing
+DRAIN_S = 0.8  # new connections come for 0.4 s after SIGTERM, and requests on open ones for 0.2 s more
+LAST_CALL_S = 0.45  # by then nobody comes new: connections made since SIGTERM are told as well
+TIDY_S = 1.0
+UNSENT_SHARE = 4  # a quarter of the memory may hold answers that clients have yet to take
+
+
+class EdgeRouter:
+    """Owner of all the parts of one router."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        clock = LoopClock()
+        clients = config.limits.sockets // 3
+        settings = config.settings
+        self._pool = Pool(
+            clock,
+            config.names.report,
+            settings.connect_timeout_us,
+            config.idle_us,
+            config.streams_per_connection,
+            most_connections=config.limits.sockets - clients - RESERVED,
+        )
+        self._engine = Engine(settings, config.seed, clock, self._pool)
+        classes = {name: number for number, name in enumerate(config.names.classes)}
+        unsent = int(config.limits.memory_mb * (1 << 20) / UNSENT_SHARE)
+        self._front = FrontServer(self._engine, clock, classes, clients, unsent)
+        self._changes = ChangeLog(config.names, self)
+        self._feed = FeedClient(config.changelog, self._changes)
+        self._stopping = asyncio.Event()
+
+    def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None:
+        self._engine.list_changed(kind, version, members)
+        self._pool.list_changed(members, whole=kind != api.ListKind.DELTA)
+
+    def purged(self, key: str, group: int, made_us: int) -> None:
+        self._engine.purged(key, group, made_us)
+
+    def start(self) -> None:
+        """Apply what is known, listen, follow the change log, and only then be ready."""
+        self._changes.known(self._config.known)
+        self._engine.flush()
+        self._front.add_socket(listen_socket(*self._config.listen))
+        self._feed.start()
+        self._front.ready = True
+        log.info("ready", extra=fields(name=self._config.name, seq=self._changes.last))
+
+    def stop(self) -> None:
+        """Begin a planned end; ``run`` returns when all that was taken is answered."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until ``stop``, then drain."""
+        self.start()
+        tidying = asyncio.ensure_future(self._tidy())
+        await self._stopping.wait()
+        log.info("draining", extra=fields(open=self._engine.open_requests))
+        self._front.ready = False
+        self._front.announce_end()
+        await asyncio.sleep(LAST_CALL_S)
+        self._front.announce_end()
+        await asyncio.sleep(DRAIN_S - LAST_CALL_S)
+        while self._engine.open_requests or self._front.busy:
+            await asyncio.sleep(0.01)
+        tidying.cancel()
+        self._front.stop()
+        self._front.close_all()
+        self._feed.stop()
+        self._pool.close_all()
+        log.info("ended")
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_S)
+            self._pool.tidy()
+            self._front.close_idle()
+
+
+async def _serve(config: Config) -> None:
+    router = EdgeRouter(config)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, router.stop)
+    gc.freeze()
+    await router.run()
+
+
+def main(environ: Mapping[str, str] | None = None) -> int:
+    """Run one edge router as the environment says; the process's exit code."""
+    setup()
+    try:
+        config = load(environ)
+    except ConfigError as err:
+        print(f"magpieshift: {err}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(_serve(config))
+    except OSError as err:
+        print(f"magpieshift: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/magpieshift/back/__init__.py
@@ -0,0 +1,1 @@
+"""The back: caches, parents and the origin, asked in lines of words."""
--- /dev/null
+++ b/magpieshift/back/link.py
@@ -0,0 +1,120 @@
+"""One connection to a store as a state machine: which orders are open on it, and what their answers mean.
+
+It owns the ids in use on its connection. An id is taken in ``ask`` and given back in ``_release``.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator, Sequence
+
+from magpieshift.back import lines
+from magpieshift.core.model import Order, Result
+from magpieshift.log import fields
+
+log = logging.getLogger(__name__)
+
+Done = Callable[[Result], None]
+MOST_QUIT = 1024  # ids given up, each remembered until its late answer; a connection with more retires
+
+
+def order_fields(order: Order, now_us: int) -> dict[str, str]:
+    """An order in the words of the protocol; what is absent or zero is left out."""
+    call = order.call
+    values: dict[str, str | int] = {
+        "class": call.class_name,
+        "key": call.key,
+        "part": call.part,
+        "wait": max(1, (order.deadline_us - now_us) // 1000),
+        "once": call.once,
+        "via": order.source.ident if order.source is not None else "",
+        "tier": order.keep,
+        "fresh": -(-order.age_us // 1000) if order.age_us < 1000 else order.age_us // 1000,
+        "opts": lines.options(order.mode),
+        "known": call.known,
+    }
+    kept = ("class", "key", "part", "wait")
+    return {name: str(value) for name, value in values.items() if value or name in kept}
+
+
+class Link:
+    """The protocol of one connection to a store."""
+
+    def __init__(self, report: Sequence[str]) -> None:
+        self._report = report
+        self._parser = lines.ReplyParser()
+        self._open: dict[str, Done] = {}
+        self._quit: set[str] = set()  # given up, and an answer to them may still be on its way
+        self._probes = 0
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def takes(self, ident: str) -> bool:
+        """Whether an answer under this id would be taken for that of the new order, and no other."""
+        return ident not in self._open and ident not in self._quit and len(self._quit) < MOST_QUIT
+
+    def ask(self, order: Order, now_us: int, done: Done) -> tuple[bytes, ...]:
+        """What to write for an order."""
+        call = order.call
+        self._open[call.ident] = done
+        head = lines.ask(call.ident, order_fields(order, now_us), len(call.body))
+        return (head, call.body, lines.END) if call.body else (head + lines.END,)
+
+    def probe(self, with_report: bool, done: Done) -> tuple[str, bytes]:
+        """The tag of a probe, and what to write for it."""
+        self._probes += 1
+        tag = f"p{self._probes}"
+        self._open[tag] = done
+        return tag, lines.probe(tag, with_report)
+
+    def give_up(self, ident: str, is_probe: bool = False) -> bytes:
+        """What to write to give an order up; its answer, should one come, is passed over."""
+        if ident not in self._open:
+            return b""
+        self._release(ident)
+        self._quit.add(ident)
+        return b"" if is_probe else lines.quit_(ident)
+
+    def _release(self, ident: str) -> Done:
+        return self._open.pop(ident)
+
+    def feed(self, data: bytes) -> Iterator[tuple[Done, Result]]:
+        """The orders that these bytes end; ``LineError`` where the connection cannot go on."""
+        for reply in self._parser.feed(data):
+            if reply.ident in self._open:
+                yield self._release(reply.ident), self._result(reply)
+            elif reply.ident in self._quit:
+                self._quit.discard(reply.ident)
+            else:
+                raise lines.LineError(f"answer to nothing asked: {reply.ident[:40]!r}")
+
+    def lost(self) -> list[Done]:
+        """The connection is gone: all that was open on it."""
+        return [self._release(ident) for ident in list(self._open)]
+
+    def _result(self, reply: lines.Reply) -> Result:
+        return Result(
+            outcome=lines.WORDS[reply.word],
+            note=lines.note_number(reply.fields.get("how", "")),
+            fill_wait_us=int(_number(reply.fields.get("lag", "")) * 1000),
+            load=self._load(reply.fields.get("stats", "")),
+            body=reply.body,
+            current=reply.word == "unchanged",
+        )
+
+    def _load(self, text: str) -> tuple[float, ...]:
+        """A load report in the order of the settings; none if it is not whole."""
+        values = dict(item.partition(":")[::2] for item in text.split(";") if ":" in item)
+        if not self._report or not all(name in values for name in self._report):
+            return ()
+        return tuple(_number(values[name]) for name in self._report)
+
+
+def _number(text: str) -> float:
+    try:
+        value = float(text) if text else 0.0
+    except ValueError:
+        log.warning("unreadable number", extra=fields(text=text[:40]))
+        return 0.0
+    return value if 0 <= value < 1e12 else 0.0
--- /dev/null
+++ b/magpieshift/back/pool.py
@@ -0,0 +1,294 @@
+"""The thin driver of the back: connections to stores, and which of them carries an order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Iterable, Sequence
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from magpieshift.back.lines import LineError
+from magpieshift.back.link import Done, Link
+from magpieshift.clock import LoopClock
+from magpieshift.core.model import Member, Order, Result
+from magpieshift.log import fields
+from molecleat.interface import Outcome, Phase
+
+log = logging.getLogger(__name__)
+
+READ_SIZE = 65_536
+SILENT_US = 600_000  # orders open and nothing heard for so long: the machine may be gone
+PROBE_TIMEOUT_US = 250_000
+IDLE_SHARE = 0.8  # of the idle time: a store that closes first could reset an order just written
+LOST = Result(Outcome.RESET)
+NEVER_UP = Result(Outcome.CONNECT_FAILED)
+
+
+class Connection:
+    """One connection to a store: owner of its socket, and of the orders that wait for it to come up."""
+
+    def __init__(self, pool: StorePool) -> None:
+        self._pool, self._clock = pool, pool.back.clock
+        self.link = Link(pool.back.report)
+        self._waiting: dict[Ticket, None] = {}
+        self._up = False
+        self.retired = False  # takes nothing new, and is closed once nothing is open on it
+        self.idle_since_us: int | None = self._clock.now_us()
+        self._heard_us = self._clock.now_us()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._stream = IOStream(sock, max_buffer_size=1 << 20, read_chunk_size=READ_SIZE)
+        self._task = asyncio.ensure_future(self._run())
+
+    @property
+    def load(self) -> int:
+        return len(self.link) + len(self._waiting)
+
+    def silent(self, now_us: int) -> bool:
+        """Whether it owes answers and has said nothing for long. A machine that vanishes says nothing at
+        all, so what is sent on here would be lost until its time-out."""
+        return self._up and len(self.link) > 0 and now_us - self._heard_us > SILENT_US
+
+    async def _run(self) -> None:
+        """Connect, read until the end, and give everything back."""
+        outcome = NEVER_UP
+        try:
+            async with asyncio.timeout(self._pool.back.connect_timeout_us / 1e6):
+                await self._stream.connect(self._pool.address)
+            outcome, self._up = LOST, True
+            self._heard_us = self._clock.now_us()
+            waiting, self._waiting = list(self._waiting), {}
+            for ticket in waiting:
+                self._write(ticket)
+            self.rest()
+            while True:
+                data = await self._stream.read_bytes(READ_SIZE, partial=True)
+                self._heard_us = self._clock.now_us()
+                for done, result in self.link.feed(data):
+                    done(result)
+                self.rest()
+        except (StreamClosedError, TimeoutError):
+            pass
+        except LineError as err:
+            log.warning("unreadable answer", extra=fields(store=self._pool.ident, reason=err))
+        except Exception:
+            log.exception("connection failed", extra=fields(store=self._pool.ident))
+        finally:
+            self._end(outcome)
+
+    def _end(self, outcome: Result) -> None:
+        """The one place where a connection is given back; what was written on it may have run, what was not
+        never did."""
+        self._stream.close()
+        self._pool.forget(self)
+        waiting, self._waiting = list(self._waiting), {}
+        for done in self.link.lost():
+            done(outcome)
+        for ticket in waiting:
+            ticket.done(NEVER_UP)
+
+    def carry(self, ticket: Ticket) -> None:
+        self.idle_since_us = None
+        ticket.connection = self
+        if self._up:
+            self._write(ticket)
+        else:
+            self._waiting[ticket] = None
+
+    def _write(self, ticket: Ticket) -> None:
+        if ticket.order is not None and not ticket.order.may_go():
+            self._clock.soon(lambda: ticket.done(NEVER_UP))  # never from within the caller's own call
+            return
+        if len(self.link) == 0:
+            self._heard_us = self._clock.now_us()
+        ticket.written = True
+        if ticket.order is None:
+            ticket.ident, data = self.link.probe(bool(self._pool.back.report), ticket.done)
+            chunks: tuple[bytes, ...] = (data,)
+        else:
+            chunks = self.link.ask(ticket.order, self._clock.now_us(), ticket.done)
+        self._send(chunks)
+
+    def _send(self, chunks: Iterable[bytes]) -> None:
+        if not self._stream.closed():
+            for chunk in chunks:
+                self._stream.write(chunk)
+
+    def drop(self, ticket: Ticket) -> None:
+        """Take back an order: unsent it is forgotten, sent it is quit."""
+        self._waiting.pop(ticket, None)
+        if ticket.written:
+            quit_line = self.link.give_up(ticket.ident, ticket.order is None)
+            if quit_line:
+                self._send((quit_line,))
+            if self.silent(self._clock.now_us()) or not len(self.link):
+                self.retired = self.retired or self._clock.now_us() - self._heard_us > SILENT_US
+        self.rest()
+
+    def rest(self) -> None:
+        """Note that nothing is open, and close if it is not to be used again."""
+        if self.load:
+            return
+        if self.idle_since_us is None:
+            self.idle_since_us = self._clock.now_us()
+        if self.retired:
+            self.close()
+
+    def close(self) -> None:
+        if self._up:
+            self._stream.close()
+        else:
+            self._task.cancel()
+
+
+class Ticket:
+    """An order, or a probe, on its way; the core's handle on it."""
+
+    def __init__(self, order: Order | None, ident: str, done: Done) -> None:
+        self.order, self.ident, self.done = order, ident, done
+        self.connection: Connection | None = None
+        self.written = False
+
+    def give_up(self) -> bool:
+        if self.connection is not None:
+            self.connection.drop(self)
+        return self.written
+
+
+class StorePool:
+    """The connections to one store."""
+
+    def __init__(self, back: Pool, ident: str, address: tuple[str, int]) -> None:
+        self.back, self.ident, self.address = back, ident, address
+        self.connections: list[Connection] = []
+
+    def carry(self, ticket: Ticket) -> bool:
+        """Put it on the least loaded connection that is fit for it, or on a new one."""
+        now = self.back.clock.now_us()
+        fit = [
+            c
+            for c in self.connections
+            if not (c.retired or c.silent(now) or c.load >= self.back.streams) and c.link.takes(ticket.ident)
+        ]
+        best = min(fit, key=lambda c: c.load, default=None)
+        if (best is None or best.load >= self.back.streams_wanted) and self.back.may_open(self):
+            best = Connection(self)
+            self.connections.append(best)
+        if best is None:
+            return False
+        best.carry(ticket)
+        return True
+
+    def retire(self) -> None:
+        """Let what is open end, and take nothing new on these connections."""
+        for connection in list(self.connections):
+            connection.retired = True
+            connection.rest()
+
+    def close_idle(self, idle_us: int) -> None:
+        now = self.back.clock.now_us()
+        for connection in list(self.connections):
+            since = connection.idle_since_us
+            if since is not None and now - since >= idle_us:
+                connection.close()
+
+    def forget(self, connection: Connection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+
+
+class Pool:
+    """The connections to all stores; the back that the core is given."""
+
+    def __init__(
+        self,
+        clock: LoopClock,
+        report: Sequence[str],
+        connect_timeout_us: int,
+        idle_us: int,
+        streams: int,
+        most_connections: int,
+        streams_wanted: int = 4,
+    ) -> None:
+        self.clock, self.report, self.connect_timeout_us = clock, report, connect_timeout_us
+        self.streams, self.streams_wanted = streams, min(streams, streams_wanted)
+        self._idle_us, self._most = int(idle_us * IDLE_SHARE), most_connections
+        self._stores: dict[int, StorePool] = {}
+        self._leaving: list[StorePool] = []  # gone, or replaced by a new process or address
+        self._up_since: dict[int, int] = {}
+
+    def start(self, order: Order, done: Done) -> Ticket:
+        ticket = Ticket(order, order.call.ident, done)
+        if not self._store(order.target).carry(ticket):
+            log.warning("no connection to be had", extra=fields(store=order.target.ident))
+            self.clock.soon(lambda: done(NEVER_UP))
+        return ticket
+
+    def probe(self, member: Member, done: Done) -> None:
+        ticket = Ticket(None, "", done)
+
+        def late() -> None:
+            ticket.give_up()
+            done(Result(Outcome.TIMEOUT if ticket.written else Outcome.CONNECT_FAILED))
+
+        timer = self.clock.after(PROBE_TIMEOUT_US, late)
+
+        def over(result: Result) -> None:
+            timer.cancel()
+            done(result)
+
+        ticket.done = over
+        if not self._store(member).carry(ticket):
+            over(NEVER_UP)
+
+    def close_idle(self, member: Member) -> None:
+        self._store(member).close_idle(0)
+
+    def _store(self, member: Member) -> StorePool:
+        """Connections belong to the process that was listed: one that restarts, or moves, gets new ones, for
+        the old may be silent for ever."""
+        number, since = member.entry.store, member.entry.up_since_us
+        pool = self._stores.get(number)
+        if pool is not None and (pool.address != member.address or self._up_since.get(number) != since):
+            self._leave(number)
+            pool = None
+        if pool is None:
+            pool = self._stores[number] = StorePool(self, member.ident, member.address)
+            self._up_since[number] = since
+        return pool
+
+    def _leave(self, number: int) -> None:
+        pool = self._stores.pop(number)
+        self._up_since.pop(number, None)
+        pool.retire()
+        if pool.connections:
+            self._leaving.append(pool)
+
+    def list_changed(self, members: Iterable[Member], whole: bool) -> None:
+        """Stores that are gone, or that start anew, keep no connections."""
+        listed = {m.entry.store: m for m in members}
+        for number in list(self._stores):
+            member = listed.get(number)
+            if (member is None and whole) or (member is not None and member.entry.phase == Phase.GONE):
+                self._leave(number)
+            elif member is not None:
+                self._store(member)
+
+    def may_open(self, store: StorePool) -> bool:
+        """Whether the descriptors allow one more, shared evenly between the stores."""
+        pools = [*self._stores.values(), *self._leaving]
+        fair = max(2, self._most // max(1, len(self._stores)))
+        return len(store.connections) < fair and sum(len(p.connections) for p in pools) < self._most
+
+    def tidy(self) -> None:
+        """Close what has been idle; called now and then."""
+        for pool in list(self._stores.values()):
+            pool.close_idle(self._idle_us)
+        self._leaving = [pool for pool in self._leaving if pool.connections]
+
+    def close_all(self) -> None:
+        for pool in [*self._stores.values(), *self._leaving]:
+            for connection in list(pool.connections):
+                connection.close()
--- /dev/null
+++ b/magpieshift/clock.py
@@ -0,0 +1,40 @@
+"""The system's Unix clock and the event loop's timers, behind the small interface that the core is given."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+
+class Handle(Protocol):
+    """A timer that can be called off."""
+
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    """All that the core knows of time."""
+
+    def now_us(self) -> int: ...
+
+    def after(self, delay_us: int, call: Callable[[], None]) -> Handle: ...
+
+    def soon(self, call: Callable[[], None]) -> None: ...
+
+
+class LoopClock:
+    """The clock of the running event loop."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
+    def now_us(self) -> int:
+        return time.time_ns() // 1000
+
+    def after(self, delay_us: int, call: Callable[[], None]) -> Handle:
+        return self._loop.call_later(max(delay_us, 0) / 1e6, call)
+
+    def soon(self, call: Callable[[], None]) -> None:
+        self._loop.call_soon(call)
--- /dev/null
+++ b/magpieshift/config.py
@@ -0,0 +1,161 @@
+"""The configuration: environment variables and one JSON file, read into typed values.
+
+The nested settings become molecleat's ``Settings`` by way of molecleat's own parser, which takes the same
+object as ``path=value`` lines.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from molecleat import interface as api
+from molecleat.wire import SettingsError, parse_settings
+
+Address = tuple[str, int]
+
+REPORT_WORDS = {  # a load report's fields: the settings' names, and those on the sockets
+    "load_share": "util",
+    "concurrent": "inflight",
+    "depth": "queue",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
+
+
+class ConfigError(Exception):
+    """A value is missing or cannot be used; the text is one plain line."""
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What the machine gives."""
+
+    memory_mb: float
+    sockets: int
+
+
+@dataclass(frozen=True)
+class Names:
+    """The words of the settings that messages on the sockets use."""
+
+    classes: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    report: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Config:
+    """All that the program is told at its start."""
+
+    name: str
+    listen: Address
+    seed: int
+    limits: Limits
+    changelog: Address
+    known: Mapping[str, Any]
+    settings: api.Settings
+    names: Names
+    idle_us: int
+    streams_per_connection: int
+
+
+def flatten(value: object, path: str = "") -> Iterator[str]:
+    """Nested settings as the lines that molecleat reads."""
+    if isinstance(value, Mapping):
+        for key, inner in value.items():
+            yield from flatten(inner, f"{path}.{key}" if path else str(key))
+    elif isinstance(value, list) and any(isinstance(inner, Mapping) for inner in value):
+        yield f"{path}.count={len(value)}"
+        for index, inner in enumerate(value):
+            yield from flatten(inner, f"{path}.{index}")
+    elif isinstance(value, list):
+        yield f"{path}=" + ",".join(_plain(inner) for inner in value)
+    else:
+        yield f"{path}={_plain(value)}"
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    text = "" if value is None else str(value)
+    return "_".join(text.replace(",", " ").split(" ")).replace("\n", "_")
+
+
+def address(text: object, what: str) -> Address:
+    """``host:port``, the host as an IPv4 address or a name."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{what} is not host:port: {text!r}")
+    return host, int(port)
+
+
+def _get(data: Mapping[str, Any], path: str, kind: type | tuple[type, ...]) -> Any:
+    """The value at a dotted path, of the wanted type."""
+    value: Any = data
+    for key in path.split("."):
+        if not isinstance(value, Mapping) or key not in value:
+            raise ConfigError(f"configuration lacks {path}")
+        value = value[key]
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise ConfigError(f"configuration has a bad {path}: {value!r}"[:200])
+    return value
+
+
+def _words(settings: Mapping[str, Any], path: str) -> tuple[str, ...]:
+    return tuple(str(word) for word in _get(settings, path, list))
+
+
+def parse(data: Mapping[str, Any], listen: str | None = None, name: str | None = None) -> Config:
+    """The typed configuration; the variables' values win over the file's."""
+    nested = _get(data, "settings", Mapping)
+    try:
+        settings = parse_settings("\n".join(flatten(nested)))
+    except (SettingsError, IndexError) as err:
+        raise ConfigError(f"settings: {err}") from err
+    seed = _get(data, "seed", (str, int))
+    try:
+        seed_number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except ValueError:
+        raise ConfigError(f"configuration has a bad seed: {seed!r}") from None
+    limits = Limits(_get(data, "limits.memory_mb", (int, float)), _get(data, "limits.sockets", int))
+    if limits.sockets < 64:
+        raise ConfigError(f"limits.sockets is too small to serve with: {limits.sockets}")
+    return Config(
+        name=name or str(data.get("name", "")),
+        listen=address(listen or data.get("listen"), "listen"),
+        seed=seed_number,
+        limits=limits,
+        changelog=address(_get(data, "changelog", str), "changelog"),
+        known=_get(data, "known", Mapping),
+        settings=settings,
+        names=Names(
+            classes=tuple(str(_get(c, "Name", str)) for c in _get(nested, "Classes", list)),
+            zones=_words(nested, "Zones"),
+            kinds=_words(nested, "MachineTypes"),
+            report=tuple(REPORT_WORDS.get(column, column) for column in settings.report_columns),
+        ),
+        idle_us=int(_get(nested, "Caps.ConnIdleUs", (int, float))),
+        streams_per_connection=max(1, int(_get(nested, "Caps.MaxStreams", (int, float)))),
+    )
+
+
+def load(environ: Mapping[str, str] | None = None) -> Config:
+    """Read the file that ``EDGE_CONFIG`` names."""
+    env = os.environ if environ is None else environ
+    path = env.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG is not set")
+    try:
+        data = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as err:
+        raise ConfigError(f"EDGE_CONFIG cannot be read: {err}") from err
+    if not isinstance(data, dict):
+        raise ConfigError("EDGE_CONFIG does not hold an object")
+    return parse(data, env.get("EDGE_LISTEN"), env.get("EDGE_NAME"))
--- /dev/null
+++ b/magpieshift/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions at work: request table, attempts, timers. Knows no socket and no protocol."""
--- /dev/null
+++ b/magpieshift/core/engine.py
@@ -0,0 +1,308 @@
+"""The request table and the attempts, and the mapping of both to ``molecleat``'s events and actions.
+
+The engine owns every open request and every attempt. It is told the time, hands the module what has happened
+in one batch, and carries out what the module decides. Whatever the module does, each request gets exactly one
+final answer in time, and no request ever has two attempts out.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from magpieshift.clock import Clock, Handle
+from magpieshift.core.model import Answer, Call, Member, Order, Result, Verdict, object_number
+from magpieshift.log import fields
+from molecleat import interface as api
+from molecleat.control import Router
+from molecleat.interface import NEVER_RAN, Effect, Outcome, Phase, Scope
+
+log = logging.getLogger(__name__)
+
+Reply = Callable[[Answer], None]
+
+
+class Exchange(Protocol):
+    """An order on its way in the back."""
+
+    def give_up(self) -> bool:
+        """Stop it; say whether the store may have been reached."""
+        ...
+
+
+class Back(Protocol):
+    """Whatever carries orders to stores."""
+
+    def start(self, order: Order, done: Callable[[Result], None]) -> Exchange: ...
+
+    def probe(self, member: Member, done: Callable[[Result], None]) -> None: ...
+
+    def close_idle(self, member: Member) -> None: ...
+
+
+class _Open:
+    """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
+
+    __slots__ = ("call", "deadline_us", "legs", "may_have_run", "op", "out", "reply", "timer")
+
+    def __init__(self, op: int, call: Call, reply: Reply, deadline_us: int) -> None:
+        self.op, self.call, self.deadline_us = op, call, deadline_us
+        self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
+        self.out: _Attempt | None = None
+        self.legs = 0
+        self.may_have_run = False
+        self.timer: Handle | None = None
+
+
+class _Attempt:
+    """An attempt that is out."""
+
+    __slots__ = ("exchange", "number", "request", "sent_us", "store", "timer")
+
+    def __init__(self, request: _Open, number: int, store: int, sent_us: int) -> None:
+        self.request, self.number, self.store, self.sent_us = request, number, store, sent_us
+        self.exchange: Exchange | None = None
+        self.timer: Handle | None = None
+
+
+class Engine:
+    """One router's requests, attempts and timers around one decision module."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, back: Back) -> None:
+        self._settings, self._clock, self._back = settings, clock, back
+        self._router = Router(settings, seed)
+        self._members: dict[int, Member] = {}
+        self._requests: dict[int, _Open] = {}
+        self._events: list[api.Event] = []
+        self._flushing = self._flush_due = False
+        self._last_op = 0
+        self.open_requests = 0
+
+    # --- what a front says
+
+    def submit(self, call: Call, reply: Reply) -> int:
+        """Take a request; ``reply`` is called once with its final answer, unless it is abandoned."""
+        self._last_op += 1
+        request = _Open(self._last_op, call, reply, self._clock.now_us() + call.patience_us)
+        self._requests[request.op] = request
+        self.open_requests += 1
+        request.timer = self._clock.after(call.patience_us, lambda: self._overdue(request))
+        write = self._settings.classes[call.cls].write
+        self._post(
+            api.Request(
+                request.op, call.cls, 0, object_number(call.key), call.patience_us, call.size_kb,
+                call.group, call.part, call.repeat, write,
+            )
+        )  # fmt: skip
+        return request.op
+
+    def abandon(self, op: int) -> None:
+        """Nobody waits for this request any more."""
+        request = self._requests.get(op)
+        if request is not None and request.reply is not None:
+            self._close(request, None)
+            self._post(api.Hangup(op))
+
+    # --- what the feed says
+
+    def list_changed(self, kind: api.ListKind, version: int, members: Iterable[Member]) -> None:
+        """Stores have come, changed or gone; a whole list drops what it leaves out."""
+        members = tuple(members)
+        if kind != api.ListKind.DELTA:
+            self._members.clear()
+        for member in members:
+            if member.entry.phase == Phase.GONE:
+                self._members.pop(member.entry.store, None)
+            else:
+                self._members[member.entry.store] = member
+        self._post(api.StoreList(kind, version, tuple(m.entry for m in members)))
+
+    def purged(self, key: str, group: int, made_us: int) -> None:
+        """An object, or with no key a group, was purged at this time."""
+        age = max(0, self._clock.now_us() - made_us)
+        self._post(api.Purged(object_number(key) if key else 0, group, age))
+
+    # --- the module
+
+    def _post(self, event: api.Event) -> None:
+        """Queue an event. The module is never entered from here: what comes in together goes in together."""
+        self._events.append(event)
+        if not self._flush_due:
+            self._flush_due = True
+            self._clock.soon(self.flush)
+
+    def flush(self) -> None:
+        """Hand the module what has happened, and do what it says."""
+        self._flush_due = False
+        events, self._events = self._events, []
+        if not events:
+            return
+        try:
+            actions = self._router.handle(self._clock.now_us(), events)
+        except Exception:
+            log.exception("module raised", extra=fields(events=len(events)))
+            self._answer_for_module(events)
+            return
+        for action in actions:
+            try:
+                self._do(action)
+            except Exception:
+                log.exception("action failed", extra=fields(action=type(action).__name__))
+                self._answer_for_module([action])
+
+    def _answer_for_module(self, said: Iterable[api.Event | api.Action]) -> None:
+        """The module broke off: what it was deciding on has no attempt out and would never be answered.
+        Requests it had not come to are covered by their deadline."""
+        for item in said:
+            request = self._requests.get(getattr(item, "id", 0))
+            if request is not None and request.reply is not None and request.out is None:
+                self._close(request, self._sorry(request))
+                self._post(api.Hangup(request.op))
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._attempt(action.id, action.store, action.timeout_us, action.store, 0, 0, 0)
+            case api.Get(id=op, store=store, timeout_us=timeout, source=source):
+                self._attempt(op, store, timeout, source, action.keep, action.age_us, action.mode)
+            case api.Refuse():
+                self._refuse(action)
+            case api.Fail():
+                self._answer(action.id, Answer(Verdict.FAILED))
+            case api.Cancel():
+                request = self._requests.get(action.id)
+                if request is not None and request.out and request.out.number == action.attempt:
+                    self._give_up(request.out, Outcome.CANCELLED)
+            case api.SetTimer(delay_us=delay, token=token):
+                self._clock.after(delay, lambda: self._post(api.Elapsed(token)))
+            case api.Probe():
+                self._probe(action.store)
+            case api.Close() if action.store in self._members:
+                self._back.close_idle(self._members[action.store])
+            case api.FetchList():
+                self.list_changed(api.ListKind.FULL, 0, tuple(self._members.values()))
+            case api.Log():
+                log.info("module", extra=fields(text=action.text))
+            case _:  # the list is always subscribed to, and routers have no way to speak to each other
+                log.debug("action without effect here", extra=fields(action=type(action).__name__))
+
+    def _probe(self, store: int) -> None:
+        start = self._clock.now_us()
+
+        def done(result: Result) -> None:
+            self._post(api.Probed(store, result.outcome, self._clock.now_us() - start, result.load))
+
+        if (member := self._members.get(store)) is None:
+            done(Result(Outcome.CONNECT_FAILED))
+        else:
+            self._back.probe(member, done)
+
+    # --- attempts
+
+    def _attempt(
+        self, op: int, store: int, timeout_us: int, source: int, keep: int, age_us: int, mode: int
+    ) -> None:
+        request, now = self._requests.get(op), self._clock.now_us()
+        if request is None:
+            log.error("attempt for an unknown request", extra=fields(op=op))
+            return
+        if request.out is not None:  # never two at once, whatever the module believes
+            log.error("attempt while one is out", extra=fields(op=op, id=request.call.ident))
+            self._give_up(request.out, Outcome.CANCELLED)
+        attempt = _Attempt(request, request.legs, store, now)
+        request.legs += 1
+        request.out = attempt
+        left = request.deadline_us - now
+        timeout_us = min(timeout_us or left, left)
+        if request.reply is None or timeout_us <= 0 or attempt.number >= self._settings.max_attempts:
+            return self._settle(attempt, Result(Outcome.MOOT))
+        target, supplier = self._members.get(store), self._members.get(source)
+        if target is None or supplier is None:  # it left the list in this very batch: nothing was sent
+            return self._settle(attempt, Result(Outcome.CONNECT_FAILED))
+        if target.entry.kind == self._settings.parent_kind:
+            keep = 0  # parents know no ranks
+        by, deadline = (supplier if source != store else None), now + timeout_us
+        call, may_go = request.call, lambda: self._may_go(store, source)
+        attempt.timer = self._clock.after(timeout_us, lambda: self._give_up(attempt, Outcome.TIMEOUT))
+        order = Order(call, target, by, keep, age_us, mode, deadline, may_go)
+        attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
+
+    def _may_go(self, store: int, source: int) -> bool:
+        """Whether an order that had to wait for a connection may still be written: its store, or its source,
+        may have begun to drain meanwhile, and the rule counts from when we were told."""
+        parties = (self._members.get(store), self._members.get(source))
+        return all(member is not None and member.entry.phase == Phase.READY for member in parties)
+
+    def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
+        """Call off an attempt that is out."""
+        if attempt.request.out is not attempt:
+            return
+        reached = attempt.exchange.give_up() if attempt.exchange is not None else False
+        if outcome == Outcome.TIMEOUT and not reached:
+            outcome = Outcome.CONNECT_FAILED  # never up, so it never ran
+        self._settle(attempt, Result(outcome))
+
+    def _settle(self, attempt: _Attempt, result: Result) -> None:
+        """The one place where an attempt ends: its slot, its timer and its exchange are given back here."""
+        request = attempt.request
+        if request.out is not attempt:
+            return  # a late answer
+        request.out = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.exchange = attempt.timer = None
+        if result.outcome not in NEVER_RAN:
+            request.may_have_run = True
+        if result.outcome == Outcome.OK and request.reply is not None:
+            self._close(request, Answer(Verdict.SERVED, result.body, result.current))
+        self._post(
+            api.Ended(
+                request.op, result.outcome, self._clock.now_us() - attempt.sent_us, result.fill_wait_us,
+                request.reply is None, result.note, attempt.store, attempt.number, result.load,
+            )
+        )  # fmt: skip
+
+    # --- final answers
+
+    def _refusal_is_lawful(self, request: _Open) -> bool:
+        cls = self._settings.classes[request.call.cls]
+        dropped_by_all = cls.effect == Effect.KEYED and cls.scope == Scope.ALL
+        never_ran = not request.may_have_run and request.out is None
+        return cls.effect == Effect.FREE or dropped_by_all or never_ran
+
+    def _refuse(self, action: api.Refuse) -> None:
+        request = self._requests.get(action.id)
+        if request is None or request.reply is None:
+            return
+        if not self._refusal_is_lawful(request):
+            log.error("unlawful refusal", extra=fields(id=request.call.ident))
+            return self._answer(action.id, Answer(Verdict.FAILED))
+        self._answer(action.id, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+
+    def _answer(self, op: int, answer: Answer) -> None:
+        request = self._requests.get(op)
+        if request is not None and request.reply is not None:
+            self._close(request, answer)
+
+    def _sorry(self, request: _Open) -> Answer:
+        """What a request is told when the module has no word for it."""
+        lawful = self._refusal_is_lawful(request)
+        return Answer(Verdict.REFUSED if lawful else Verdict.FAILED, retry_after_us=0)
+
+    def _overdue(self, request: _Open) -> None:
+        """The deadline: an answer still owed is given now, and the request leaves the table."""
+        if request.reply is not None:
+            log.warning("answered by the backstop", extra=fields(id=request.call.ident, legs=request.legs))
+            self._close(request, self._sorry(request))
+            self._post(api.Hangup(request.op))
+        del self._requests[request.op]
+
+    def _close(self, request: _Open, answer: Answer | None) -> None:
+        """The one place where a request ends, with its final answer or because nobody waits for one."""
+        reply, request.reply = request.reply, None
+        self.open_requests -= 1
+        if request.out is not None:
+            self._give_up(request.out, Outcome.CANCELLED)
+        if answer is not None and reply is not None:
+            reply(answer)
--- /dev/null
+++ b/magpieshift/feed/__init__.py
@@ -0,0 +1,1 @@
+"""The feed: the change log with the list of stores and the purges."""
--- /dev/null
+++ b/magpieshift/feed/changes.py
@@ -0,0 +1,111 @@
+"""The change log's events, read, put in order, and told to the core."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Mapping, Sequence
+from typing import Any, Protocol
+
+from magpieshift.config import Names, address
+from magpieshift.core.model import Member, store_number
+from magpieshift.log import fields
+from molecleat import interface as api
+
+log = logging.getLogger(__name__)
+
+PHASES = {"SERVING": api.Phase.READY, "DRAINING": api.Phase.DRAINING, "DELETED": api.Phase.GONE}
+
+
+class Gap(Exception):
+    """Events are missing: the log must be read again from the last one known."""
+
+
+class Listener(Protocol):
+    """Who is told of changes."""
+
+    def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None: ...
+
+    def purged(self, key: str, group: int, made_us: int) -> None: ...
+
+
+class ChangeLog:
+    """Follows the log: each event once, none skipped while it can still be had."""
+
+    def __init__(self, names: Names, listener: Listener) -> None:
+        self._names, self._listener = names, listener
+        self.last = 0
+        self._asked_again_for = 0
+
+    def known(self, known: Mapping[str, Any]) -> None:
+        """What the configuration tells of the time before the start."""
+        results = known.get("results")
+        for event in results if isinstance(results, list) else []:
+            self._apply(event, first=True)
+        seq = known.get("seq")
+        if isinstance(seq, int):
+            self.last = max(self.last, seq)
+
+    def event(self, text: str, ident: str = "") -> None:
+        """An event of the log. One that is known is passed over; ``Gap`` where some before it are missing,
+        unless they were asked for already."""
+        try:
+            event = json.loads(text)
+            seq = event["seq"] if "seq" in event else int(ident)
+            if not isinstance(seq, int):
+                raise ValueError(f"seq {seq!r}")
+        except (ValueError, TypeError, KeyError) as err:
+            log.warning("unreadable change", extra=fields(reason=str(err)[:200]))
+            return
+        if seq <= self.last:
+            return
+        if seq > self.last + 1 and self._asked_again_for != self.last + 1:
+            self._asked_again_for = self.last + 1
+            raise Gap(f"change {self.last + 1} is missing before {seq}")
+        self.last = seq
+        self._apply(event)
+
+    def _apply(self, event: Any, first: bool = False) -> None:
+        """Tell the core; what cannot be read is logged in one line and changes nothing."""
+        try:
+            if "fleet" in event:
+                self._fleet(event["fleet"], first)
+            if "invalidate" in event:
+                self._purge(event["invalidate"])
+        except Exception as err:
+            log.warning("unreadable change", extra=fields(reason=f"{type(err).__name__}: {err}"[:200]))
+
+    def _fleet(self, fleet: Mapping[str, Any], first: bool) -> None:
+        members = []
+        for raw in fleet["members"]:
+            try:
+                members.append(self._member(raw))
+            except Exception as err:  # the others count all the same
+                log.warning("unreadable member", extra=fields(reason=f"{type(err).__name__}: {err}"[:200]))
+        kind = api.ListKind.CACHED if first else api.ListKind.FULL
+        kind = kind if fleet.get("complete") else api.ListKind.DELTA
+        self._listener.list_changed(kind, int(fleet.get("revision", 0)), members)
+
+    def _member(self, raw: Mapping[str, Any]) -> Member:
+        ident, names, phase = str(raw["id"]), self._names, PHASES[raw["phase"]]
+        if not ident or any(mark in ident for mark in " ,=\r\n"):
+            raise ValueError(f"id {ident!r}")
+        entry = api.Entry(
+            store=store_number(ident),
+            zone=names.zones.index(raw["locality"]),
+            kind=names.kinds.index(raw["flavor"]),
+            cell=int(raw.get("cell", 0)),
+            phase=phase,
+            weight=float(raw.get("size", 1.0)),
+            up_since_us=int(raw.get("up_since_ms", 0) * 1000),
+        )
+        return Member(ident, address(raw["host_port"], "host_port"), entry)
+
+    def _purge(self, purge: Mapping[str, Any]) -> None:
+        made_us = int(purge["time"] * 1000)
+        if "object" in purge:
+            key = str(purge["object"])
+            int(key, 16)
+            self._listener.purged(key, 0, made_us)
+        else:
+            self._listener.purged("", int(purge["bucket"]), made_us)
--- /dev/null
+++ b/magpieshift/feed/client.py
@@ -0,0 +1,117 @@
+"""The driver of the feed: reads the change log over HTTP, and comes back whenever it breaks off."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import socket
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
+from tornado.iostream import IOStream, StreamClosedError
+
+from magpieshift.feed.changes import ChangeLog, Gap
+from magpieshift.feed.sse import SseError, SseParser
+from magpieshift.log import fields
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 2.5  # a comment comes every second; with two missing, what we know may be growing old
+CONNECT_S = 1.0
+PAUSE_S, MOST_PAUSE_S = 0.05, 0.8  # well under the 7 s after which all counts as told
+
+
+class _Reader(HTTPMessageDelegate):
+    """The body of one response, fed to the parser as it comes."""
+
+    def __init__(self, feed: FeedClient, stream: IOStream) -> None:
+        self._feed, self._stream, self._parser = feed, stream, SseParser()
+        self.good = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        code = getattr(start_line, "code", 0)
+        self.good = code == 200
+        if not self.good:
+            log.warning("change log refused", extra=fields(code=code))
+            self._stream.close()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._feed.alive()
+        try:
+            for event in self._parser.feed(chunk):
+                self._feed.log.event(event.data, event.ident)
+        except (Gap, SseError) as err:
+            log.warning("change log broken off", extra=fields(reason=err))
+            self._stream.close()
+
+
+class FeedClient:
+    """Owner of the one connection to the change log."""
+
+    def __init__(self, address: tuple[str, int], changes: ChangeLog) -> None:
+        self._address, self.log = address, changes
+        self._task: asyncio.Task[None] | None = None
+        self._heard = 0.0
+
+    def start(self) -> None:
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def alive(self) -> None:
+        self._heard = asyncio.get_running_loop().time()
+
+    async def _run(self) -> None:
+        pause = PAUSE_S
+        while True:
+            good = False
+            try:
+                good = await self._read()
+            except (OSError, StreamClosedError, TimeoutError) as err:
+                log.debug("change log lost", extra=fields(reason=repr(err)))
+            except Exception:
+                log.exception("change log failed")
+            pause = PAUSE_S if good else min(2 * pause, MOST_PAUSE_S)
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+
+    async def _read(self) -> bool:
+        """Read one response to its end; whether it was one."""
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        watch: asyncio.Task[None] | None = None
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await stream.connect(self._address)
+            self.alive()
+            watch = asyncio.ensure_future(self._watch(stream))
+            reader = _Reader(self, stream)
+            parameters = HTTP1ConnectionParameters(no_keep_alive=True, max_body_size=1 << 40)
+            http = HTTP1Connection(stream, is_client=True, params=parameters)
+            host, port = self._address
+            headers = HTTPHeaders(
+                {
+                    "Host": f"{host}:{port}",
+                    "Accept": "text/event-stream",
+                    "Last-Event-ID": str(self.log.last),
+                }
+            )
+            await http.write_headers(RequestStartLine("GET", "/changes", "HTTP/1.1"), headers)
+            await http.read_response(reader)
+            return reader.good
+        finally:
+            if watch is not None:
+                watch.cancel()
+            stream.close()
+
+    async def _watch(self, stream: IOStream) -> None:
+        """Take missed heartbeats for death: a machine that vanished says nothing."""
+        loop = asyncio.get_running_loop()
+        while (left := self._heard + SILENCE_S - loop.time()) > 0:
+            await asyncio.sleep(left)
+        log.warning("change log silent", extra=fields(after_s=SILENCE_S))
+        stream.close()
--- /dev/null
+++ b/magpieshift/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front: clients speak binary frames to it."""
