--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Mapping, Sequence
 
+from magpieshift.back.lines import MOST_BODY
 from magpieshift.back.pool import Pool
 from magpieshift.clock import LoopClock
 from magpieshift.config import Config, ConfigError, load
@@ -26,7 +27,7 @@
 DRAIN_S = 0.8  # new connections come for 0.4 s after SIGTERM, and requests on open ones for 0.2 s more
 LAST_CALL_S = 0.45  # by then nobody comes new: connections made since SIGTERM are told as well
 TIDY_S = 1.0
-UNSENT_SHARE = 4  # a quarter of the memory may hold answers that clients have yet to take
+MEMORY_PARTS = 4  # a quarter each for what is held for clients, for writes, for answers, and for the program
 
 
 class EdgeRouter:
@@ -35,20 +36,20 @@
     def __init__(self, config: Config) -> None:
         self._config = config
         clock = LoopClock()
-        clients = config.limits.sockets // 3
-        settings = config.settings
+        settings, part = config.settings, int(config.limits.memory_mb * (1 << 20) / MEMORY_PARTS)
+        clients = config.limits.sockets // 3  # the rest is for stores, as far as there is memory for answers
+        stores = min(config.limits.sockets - clients - RESERVED, max(16, part // MOST_BODY))
         self._pool = Pool(
             clock,
             config.names.report,
             settings.connect_timeout_us,
             config.idle_us,
             config.streams_per_connection,
-            most_connections=config.limits.sockets - clients - RESERVED,
+            most_connections=stores,
         )
-        self._engine = Engine(settings, config.seed, clock, self._pool)
+        self._engine = Engine(settings, config.seed, clock, self._pool, part)
         classes = {name: number for number, name in enumerate(config.names.classes)}
-        unsent = int(config.limits.memory_mb * (1 << 20) / UNSENT_SHARE)
-        self._front = FrontServer(self._engine, clock, classes, clients, unsent)
+        self._front = FrontServer(self._engine, clock, classes, clients, part)
         self._changes = ChangeLog(config.names, self)
         self._feed = FeedClient(config.changelog, self._changes)
         self._stopping = asyncio.Event()
@@ -84,7 +85,7 @@
         await asyncio.sleep(LAST_CALL_S)
         self._front.announce_end()
         await asyncio.sleep(DRAIN_S - LAST_CALL_S)
-        while self._engine.open_requests or self._front.busy:
+        while self._engine.open_requests or self._front.owing:
             await asyncio.sleep(0.01)
         tidying.cancel()
         self._front.stop()
@@ -97,7 +98,7 @@
         while True:
             await asyncio.sleep(TIDY_S)
             self._pool.tidy()
-            self._front.close_idle()
+            self._front.tidy()
 
 
 async def _serve(config: Config) -> None:
--- a/magpieshift/back/lines.py
+++ b/magpieshift/back/lines.py
@@ -9,7 +9,7 @@
 
 END = b"\r\n"
 MOST_LINE = 4096
-MOST_BODY = 1 << 20
+MOST_BODY = 1 << 18  # objects have 240,000 bytes at most
 PROBE_WORDS = {"well": Outcome.OK, "ill": Outcome.ERROR}
 WORDS = {
     "data": Outcome.OK,
--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -87,7 +87,7 @@
             elif reply.ident in self._quit:
                 self._quit.discard(reply.ident)
             else:
-                raise lines.LineError(f"answer to nothing asked: {reply.ident[:40]!r}")
+                log.warning("answer to nothing asked", extra=fields(id=reply.ident[:40]))
 
     def lost(self) -> list[Done]:
         """The connection is gone: all that was open on it."""
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -55,6 +55,8 @@
         """Connect, read until the end, and give everything back."""
         outcome = NEVER_UP
         try:
+            if self._stream.closed():  # before this ran at all
+                return
             async with asyncio.timeout(self._pool.back.connect_timeout_us / 1e6):
                 await self._stream.connect(self._pool.address)
             outcome, self._up = LOST, True
@@ -100,7 +102,7 @@
     def _write(self, ticket: Ticket) -> None:
         if ticket.order is not None and not ticket.order.may_go():
             self._clock.soon(lambda: ticket.done(NEVER_UP))  # never from within the caller's own call
-            return
+            return self.rest()
         if len(self.link) == 0:
             self._heard_us = self._clock.now_us()
         ticket.written = True
@@ -137,10 +139,8 @@
             self.close()
 
     def close(self) -> None:
-        if self._up:
-            self._stream.close()
-        else:
-            self._task.cancel()
+        """Close the socket; ``_run`` ends with it."""
+        self._stream.close()
 
 
 class Ticket:
@@ -181,10 +181,13 @@
         best.carry(ticket)
         return True
 
-    def retire(self) -> None:
-        """Let what is open end, and take nothing new on these connections."""
+    def retire(self, process_is_gone: bool) -> None:
+        """Take nothing new on these connections, and let what is open end; unless the process that they lead
+        to is known to have been replaced, since then they may stay silent for ever."""
         for connection in list(self.connections):
             connection.retired = True
+            if process_is_gone:
+                connection.close()
             connection.rest()
 
     def close_idle(self, idle_us: int) -> None:
@@ -241,7 +244,7 @@
 
         ticket.done = over
         if not self._store(member).carry(ticket):
-            over(NEVER_UP)
+            self.clock.soon(lambda: over(NEVER_UP))
 
     def close_idle(self, member: Member) -> None:
         self._store(member).close_idle(0)
@@ -252,17 +255,17 @@
         number, since = member.entry.store, member.entry.up_since_us
         pool = self._stores.get(number)
         if pool is not None and (pool.address != member.address or self._up_since.get(number) != since):
-            self._leave(number)
+            self._leave(number, process_is_gone=True)
             pool = None
         if pool is None:
             pool = self._stores[number] = StorePool(self, member.ident, member.address)
             self._up_since[number] = since
         return pool
 
-    def _leave(self, number: int) -> None:
+    def _leave(self, number: int, process_is_gone: bool = False) -> None:
         pool = self._stores.pop(number)
         self._up_since.pop(number, None)
-        pool.retire()
+        pool.retire(process_is_gone)
         if pool.connections:
             self._leaving.append(pool)
 
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -9,6 +9,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from magpieshift.clock import Clock, Handle
@@ -69,8 +70,10 @@
 class Engine:
     """One router's requests, attempts and timers around one decision module."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock, back: Back) -> None:
-        self._settings, self._clock, self._back = settings, clock, back
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, back: Back, most_held: int = 32 << 20
+    ) -> None:
+        self._settings, self._clock, self._back, self._most_held = settings, clock, back, most_held
         self._router = Router(settings, seed)
         self._members: dict[int, Member] = {}
         self._requests: dict[int, _Open] = {}
@@ -78,16 +81,24 @@
         self._flushing = self._flush_due = False
         self._last_op = 0
         self.open_requests = 0
+        self.held = 0  # bytes of the bodies of open requests
 
     # --- what a front says
 
     def submit(self, call: Call, reply: Reply) -> int:
-        """Take a request; ``reply`` is called once with its final answer, unless it is abandoned."""
+        """Take a request; ``reply`` is called once with its final answer, unless it is abandoned, and never
+        before this returns."""
         self._last_op += 1
         request = _Open(self._last_op, call, reply, self._clock.now_us() + call.patience_us)
         self._requests[request.op] = request
         self.open_requests += 1
+        self.held += len(call.body)
         request.timer = self._clock.after(call.patience_us, lambda: self._overdue(request))
+        if self.held > self._most_held:  # memory is bounded, whatever clients write
+            log.warning("bodies fill the memory", extra=fields(held=self.held))
+            no = Answer(Verdict.REFUSED, retry_after_us=self._settings.max_retry_after_us)
+            self._clock.soon(lambda: self._answer(request.op, no))
+            return request.op
         write = self._settings.classes[call.cls].write
         self._post(
             api.Request(
@@ -302,7 +313,9 @@
         """The one place where a request ends, with its final answer or because nobody waits for one."""
         reply, request.reply = request.reply, None
         self.open_requests -= 1
+        self.held -= len(request.call.body)
         if request.out is not None:
             self._give_up(request.out, Outcome.CANCELLED)
+        request.call = replace(request.call, body=b"")
         if answer is not None and reply is not None:
             reply(answer)
--- a/magpieshift/core/model.py
+++ b/magpieshift/core/model.py
@@ -36,7 +36,7 @@
     repeat: bool
     once: str
     known: str
-    body: bytes
+    body: bytes  # let go once the request is over
 
 
 class Verdict(Enum):
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -64,6 +64,7 @@
             raise Gap(f"change {self.last + 1} is missing before {seq}")
         self.last = seq
         self._apply(event)
+        log.info("change applied", extra=fields(seq=seq))
 
     def _apply(self, event: Any, first: bool = False) -> None:
         """Tell the core; what cannot be read is logged in one line and changes nothing."""
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Mapping
@@ -22,30 +23,33 @@
 READ_SIZE = 65_536
 HIGH_WATER = 1 << 20  # unsent bytes of one connection, above which no more of it is read
 IDLE_S = 60.0  # with nothing open; clients close after 4 s
-
-
-class Unsent:
-    """Bytes of answers that clients have yet to take, over all connections, and the bound on them."""
-
-    def __init__(self, most: int) -> None:
-        self.most, self.total = most, 0
+STALL_S = 10.0  # without taking a byte of its answers
+LINGER_S = 0.5  # for a client to read why it is being closed
 
 
 class Connection:
-    """One client: owner of its socket, of its session and of its unsent bytes."""
+    """One client: owner of its socket, of its session and of the bytes held for it."""
 
     def __init__(self, server: FrontServer, stream: IOStream) -> None:
         self._server, self._stream = server, stream
         self._session = Session(server.classes)
         self._ops: dict[int, int] = {}  # open stream: the engine's number
-        self._drained = asyncio.Event()
+        self._settled = asyncio.Event()  # set while nothing is open or unsent
+        self._drained = asyncio.Event()  # set while its unsent answers are few
+        self._settled.set()
         self._drained.set()
-        self.unsent = 0
-        self.heard_us = server.clock.now_us()
+        self._unsent = 0
+        self._ended = False
+        self.held = 0
+        self.heard_us = self._moved_us = server.clock.now_us()
 
     @property
     def busy(self) -> bool:
-        return self._session.busy or self.unsent > 0
+        return bool(self._ops) or self.held > 0
+
+    @property
+    def owing(self) -> bool:
+        return self._unsent > 0
 
     async def serve(self) -> None:
         """Read until the client leaves or errs; then give up what it has open."""
@@ -56,40 +60,80 @@
                 self.heard_us = self._server.clock.now_us()
                 for event in self._session.feed(data):
                     self._on(event)
+                self._account()
         except FrameError as err:
             log.warning("bad frame", extra=fields(reason=err))
-            self._write(self._session.error(str(err)))
+            await self._finish(str(err))
         except StreamClosedError:
             pass
         finally:
             self._end()
 
+    async def _finish(self, reason: str) -> None:
+        """Tell of the error, answer what was taken before it, and close. Until then what comes is read and
+        thrown away: closing over unread bytes would reset the connection and destroy the last answers."""
+        self._write(self._session.error(reason))
+        discarding = asyncio.ensure_future(self._discard())
+        try:
+            await asyncio.wait(
+                [discarding, asyncio.ensure_future(self._settled.wait())],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not self._stream.closed():
+                self._stream.socket.shutdown(socket.SHUT_WR)
+                await asyncio.wait([discarding], timeout=LINGER_S)
+        except OSError:
+            pass
+        finally:
+            discarding.cancel()
+
+    async def _discard(self) -> None:
+        with contextlib.suppress(StreamClosedError):
+            while True:
+                await self._stream.read_bytes(READ_SIZE, partial=True)
+
     def _on(self, event: Asked | Unusable | Abandoned | ReadyAsked) -> None:
         engine, stream = self._server.engine, event.stream
         match event:
             case Asked(call=call):
                 self._ops[stream] = engine.submit(call, lambda answer: self._answer(stream, answer))
+                self._settled.clear()
             case Unusable(reason=reason, verdict=verdict):
                 log.warning("unusable request", extra=fields(reason=reason))
-                self._answer(stream, Answer(verdict))
+                self._write(self._session.answer(stream, Answer(verdict)))
             case Abandoned():
-                engine.abandon(self._ops.pop(stream))
+                op = self._ops[stream]
+                self._release(stream)
+                engine.abandon(op)
             case ReadyAsked():
                 self._write(self._session.ready(stream, self._server.ready))
 
     def _answer(self, stream: int, answer: Answer) -> None:
-        self._ops.pop(stream, None)
         self._write(self._session.answer(stream, answer))
+        self._release(stream)
+
+    def _release(self, stream: int) -> None:
+        """The one place where an open request leaves its connection."""
+        self._ops.pop(stream, None)
+        self._settle()
+
+    def _settle(self) -> None:
+        if not self._ops and not self._unsent:
+            self._settled.set()
 
     def no_more(self) -> None:
         self._write(self._session.no_more())
 
     def close(self) -> None:
-        """Close the socket; ``serve`` ends with it."""
-        self._stream.close()
+        """Let this client go; ``serve`` ends with it."""
+        self._end()
+
+    def stalled(self, past_us: int) -> bool:
+        """Whether it has taken nothing of its answers since then."""
+        return self._unsent > 0 and self._moved_us < past_us
 
     def _write(self, chunks: Chunks) -> None:
-        """Hand bytes to the socket. A body goes as the view of it that the back has filled."""
+        """Hand bytes to the socket; a body goes as a view of the buffer that the back has filled."""
         if self._stream.closed() or not chunks:
             return
         size = sum(map(len, chunks))
@@ -101,22 +145,34 @@
 
     def _hold(self, size: int) -> None:
         """The one place where unsent bytes are counted, and counted off."""
-        self.unsent += size
-        self._server.unsent.total += size
-        if self.unsent > HIGH_WATER:
+        if self._unsent == 0 or size < 0:
+            self._moved_us = self._server.clock.now_us()
+        self._unsent += size
+        if self._unsent > HIGH_WATER:
             self._drained.clear()
         else:
             self._drained.set()
-        if size > 0 and self._server.unsent.total > self._server.unsent.most:
-            self._server.shed_slowest()
+        if self._unsent > 0:
+            self._settled.clear()
+        self._settle()
+        self._account()
+
+    def _account(self) -> None:
+        """Tell the server how much is held for this client: what it has not taken, and a frame in part."""
+        held = 0 if self._ended else self._unsent + self._session.pending
+        change, self.held = held - self.held, held
+        self._server.account(change)
 
     def _end(self) -> None:
         """The one place where a connection is given back."""
-        for op in self._ops.values():
+        if self._ended:
+            return
+        self._ended = True
+        for stream, op in list(self._ops.items()):
+            self._release(stream)
             self._server.engine.abandon(op)
-        self._ops.clear()
+        self._account()
         self._server.forget(self)
-        self._drained.set()
         self._stream.close()
 
 
@@ -129,12 +185,13 @@
         clock: LoopClock,
         classes: Mapping[str, int],
         most_connections: int,
-        most_unsent: int,
+        most_held: int,
     ) -> None:
         super().__init__(max_buffer_size=1 << 20, read_chunk_size=READ_SIZE)
         self.engine, self.clock, self.classes = engine, clock, classes
-        self.unsent = Unsent(most_unsent)
         self.ready = False
+        self.held = 0  # bytes held for all clients
+        self._most_held = most_held
         self._most = most_connections
         self._connections: set[Connection] = set()
 
@@ -153,18 +210,22 @@
             min(idle, key=lambda c: c.heard_us).close()
         return bool(idle)
 
-    def close_idle(self, idle_s: float = IDLE_S) -> None:
-        """Close connections on which nothing is open and nothing has come for so long."""
-        past = self.clock.now_us() - int(idle_s * 1e6)
-        for connection in [c for c in self._connections if not c.busy and c.heard_us <= past]:
-            connection.close()
+    def tidy(self) -> None:
+        """Close connections on which nothing is open and nothing has come for long, and those whose clients
+        have long taken nothing of their answers. Called now and then."""
+        now = self.clock.now_us()
+        idle, stall = now - int(IDLE_S * 1e6), now - int(STALL_S * 1e6)
+        for connection in list(self._connections):
+            if connection.stalled(stall) or (not connection.busy and connection.heard_us < idle):
+                connection.close()
 
-    def shed_slowest(self) -> None:
-        """Memory is bounded: the client that holds most of it goes, and can tell that answers broke off."""
-        slowest = max(self._connections, key=lambda c: c.unsent, default=None)
-        if slowest is not None:
-            log.warning("slow client dropped", extra=fields(unsent=slowest.unsent))
-            slowest.close()
+    def account(self, change: int) -> None:
+        """Memory is bounded: the client for which most is held goes, and can tell that answers broke off."""
+        self.held += change
+        if change > 0 and self.held > self._most_held:
+            greediest = max(self._connections, key=lambda c: c.held)
+            log.warning("slow client dropped", extra=fields(held=greediest.held))
+            greediest.close()
 
     def forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
@@ -175,8 +236,9 @@
             connection.no_more()
 
     @property
-    def busy(self) -> bool:
-        return any(c.busy for c in self._connections)
+    def owing(self) -> bool:
+        """Whether there are answers that clients have yet to take."""
+        return any(c.owing for c in self._connections)
 
     def close_all(self) -> None:
         for connection in list(self._connections):
--- a/magpieshift/front/session.py
+++ b/magpieshift/front/session.py
@@ -16,7 +16,7 @@
 MOST_OPEN = 32
 MOST_AHEAD = 4096  # stream ids above the lowest unused one that may be out of order
 MARGIN_US = 30_000  # the client's wait began before its request was here; our answer takes time as well
-IDENT = re.compile(r"[0-9a-f]{16}")
+IDENT = re.compile(r"[0-9a-fA-F]{16}")
 TOKEN = re.compile(r"[!-+\--~]{1,256}")  # printable, and no comma: it goes into a list on a line
 
 Chunks = tuple[bytes | bytearray, ...]
@@ -111,13 +111,9 @@
         self._used: set[int] = set()  # and these above it
 
     @property
-    def open(self) -> frozenset[int]:
-        return frozenset(self._open)
-
-    @property
-    def busy(self) -> bool:
-        """Whether closing the connection would lose something."""
-        return bool(self._open) or self._parser.pending > 0
+    def pending(self) -> int:
+        """Bytes of a frame that is not whole yet."""
+        return self._parser.pending
 
     def feed(self, data: bytes) -> Iterator[Event]:
         """What these bytes say; ``FrameError`` where the connection cannot go on."""
--- /dev/null
+++ b/tests/real/test_engine.py
@@ -0,0 +1,224 @@
+"""The core without sockets: what it promises whatever the module, the stores and the clients do."""
+
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from magpieshift.config import parse
+from magpieshift.core.engine import Engine
+from magpieshift.core.model import Answer, Call, Member, Order, Result, Verdict, object_number, store_number
+from molecleat import interface as api
+from molecleat.interface import Outcome, Phase
+from tests.real.exchange import config
+
+SECOND = 1_000_000
+CALL = Call("00000000000000a1", 0, "picture", "7f3a9c21e0b4d655", 3, 17, 9.5, 4 * SECOND, False, "", "", b"")
+WRITE = replace(CALL, cls=1, class_name="basket", once="5c0f", body=b"eggs")
+
+
+class FakeClock:
+    """Time that passes only when told to."""
+
+    def __init__(self) -> None:
+        self.now = 1_764_576_000 * SECOND
+        self.timers: list[tuple[int, int, Callable[[], None]]] = []
+
+    def now_us(self) -> int:
+        return self.now
+
+    def after(self, delay_us: int, call: Callable[[], None]) -> Any:
+        timer = (self.now + max(delay_us, 0), len(self.timers), call)
+        self.timers.append(timer)
+        return mock.Mock(cancel=lambda: self.timers.remove(timer) if timer in self.timers else None)
+
+    def soon(self, call: Callable[[], None]) -> None:
+        self.after(0, call)
+
+    def run(self, for_us: int = 0) -> None:
+        end = self.now + for_us
+        while (due := min((t for t in self.timers if t[0] <= end), default=None)) is not None:
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            due[2]()
+        self.now = end
+
+
+class FakeBack:
+    """Keeps the orders; the test says how they end."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[Order, Callable[[Result], None]]] = []
+        self.quit: list[Order] = []
+        self.reached = True
+
+    def start(self, order: Order, done: Callable[[Result], None]) -> Any:
+        self.orders.append((order, done))
+        return mock.Mock(give_up=lambda: self.quit.append(order) or self.reached)  # type: ignore[func-returns-value]
+
+    def probe(self, member: Member, done: Callable[[Result], None]) -> None:
+        done(Result(Outcome.OK))
+
+    def close_idle(self, member: Member) -> None: ...
+
+
+class EngineCase(unittest.TestCase):
+    def setUp(self) -> None:
+        ports = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": "127.0.0.1:3"}
+        self.clock, self.back, self.answers = FakeClock(), FakeBack(), list[Answer]()
+        self.engine = Engine(parse(config(ports)).settings, 7, self.clock, self.back, most_held=100)
+        self.members = [self.member("s-cache", 0, 1, 1), self.member("s-origin", 2, 0, 2)]
+        self.engine.list_changed(api.ListKind.CACHED, 1, self.members)
+        self.clock.run()
+        self.events: list[api.Event] = []
+        self.module = self.engine._router.handle
+        self.engine._router.handle = self.spy  # type: ignore[method-assign, assignment]
+        self.force: list[api.Action] | Exception | None = None
+
+    def member(self, ident: str, kind: int, zone: int, port: int, phase: Phase = Phase.READY) -> Member:
+        entry = api.Entry(store_number(ident), zone, kind, port, phase, 4.0, 0)
+        return Member(ident, ("127.0.0.1", port), entry)
+
+    def spy(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        """The module, unless the test decides in its place."""
+        self.events += events
+        force = self.force
+        self.force = None if force else force  # silence lasts, a word is said once
+        if isinstance(force, Exception):
+            raise force
+        actions = self.module(now_us, events)
+        return actions if force is None else force
+
+    def ask(self, call: Call = CALL) -> int:
+        op = self.engine.submit(call, self.answers.append)
+        self.clock.run()
+        return op
+
+    def end(self, result: Result) -> None:
+        self.back.orders[-1][1](result)
+        self.clock.run()
+
+    def ended(self) -> list[tuple[int, Outcome, bool]]:
+        return [(e.attempt, e.outcome, e.closed) for e in self.events if isinstance(e, api.Ended)]
+
+    def test_served_from_the_cache(self) -> None:
+        self.ask()
+        order = self.back.orders[0][0]
+        self.assertEqual((order.target.ident, order.source), ("s-cache", None))
+        self.end(Result(Outcome.OK, body=b"copy"))
+        self.assertEqual(self.answers, [Answer(Verdict.SERVED, b"copy")])
+        self.assertEqual(self.ended(), [(0, Outcome.OK, True)])
+
+    def test_what_comes_in_together_goes_to_the_module_as_one_batch(self) -> None:
+        with mock.patch.object(self.engine._router, "handle", side_effect=self.spy) as handle:
+            for _ in range(3):
+                self.engine.submit(CALL, self.answers.append)
+            self.clock.run()
+        self.assertEqual([len(call.args[1]) for call in handle.call_args_list], [3])
+
+    def test_attempts_count_from_zero_and_late_answers_are_passed_over(self) -> None:
+        self.ask()
+        first = self.back.orders[0][1]
+        self.end(Result(Outcome.MISS))
+        self.assertEqual(self.back.orders[1][0].source, self.members[1])
+        first(Result(Outcome.OK, body=b"late"))
+        self.end(Result(Outcome.OK, body=b"filled"))
+        self.assertEqual([a.body for a in self.answers], [b"filled"])
+        self.assertEqual(self.ended(), [(0, Outcome.MISS, False), (1, Outcome.OK, True)])
+
+    def test_a_second_attempt_waits_for_the_first_to_be_given_up(self) -> None:
+        op = self.ask()
+        self.force = [api.Send(op, self.members[1].entry.store, SECOND)]
+        self.engine.purged("", 1, self.clock.now)
+        self.engine.flush()
+        self.assertEqual(self.back.quit, [self.back.orders[0][0]])
+        self.assertEqual(len(self.back.orders), 2)
+        self.clock.run()
+        self.assertEqual(self.ended()[0], (0, Outcome.CANCELLED, False))
+
+    def test_the_client_leaves(self) -> None:
+        op = self.ask()
+        self.engine.abandon(op)
+        self.clock.run()
+        self.assertEqual((len(self.back.quit), self.answers, self.engine.open_requests), (1, [], 0))
+        self.assertIn(api.Hangup(op), self.events)
+        self.assertEqual(self.ended(), [(0, Outcome.CANCELLED, True)])
+
+    def test_silence_ends_in_time_and_the_table_is_empty_after_the_deadline(self) -> None:
+        """Also a connection that never came up: then the attempt never ran."""
+        for reached, outcome in ((True, Outcome.TIMEOUT), (False, Outcome.CONNECT_FAILED)):
+            with self.subTest(reached=reached):
+                self.back.reached, self.answers[:], self.events[:] = reached, [], []
+                self.ask()
+                self.clock.run(4 * SECOND - 1)
+                self.assertEqual([a.verdict for a in self.answers], [Verdict.REFUSED])
+                self.assertEqual(self.ended()[0][1], outcome)
+                self.clock.run(1)
+                self.assertEqual((self.engine._requests, self.engine.open_requests), ({}, 0))
+
+    def test_a_module_that_raises_still_owes_nothing(self) -> None:
+        """An error in the decisions once answered nobody until the deadline."""
+        self.force = IndexError("no such store")
+        with self.assertLogs("magpieshift.core.engine", "ERROR"):
+            self.ask()
+        self.assertEqual([a.verdict for a in self.answers], [Verdict.REFUSED])
+        self.ask()
+        self.assertEqual(len(self.back.orders), 1)
+
+    def test_a_module_that_says_nothing_is_answered_for_at_the_deadline(self) -> None:
+        self.force = []
+        self.ask()
+        with self.assertLogs("magpieshift.core.engine", "WARNING"):
+            self.clock.run(4 * SECOND)
+        self.assertEqual([a.verdict for a in self.answers], [Verdict.REFUSED])
+
+    def test_a_refusal_that_could_repeat_an_effect_becomes_a_failure(self) -> None:
+        unsafe = replace(self.engine._settings.classes[1], effect=api.Effect.UNSAFE)
+        classes = (self.engine._settings.classes[0], unsafe)
+        self.engine._settings = replace(self.engine._settings, classes=classes)
+        op = self.ask(WRITE)
+        self.force = [api.Refuse(op, 0)]
+        with self.assertLogs("magpieshift.core.engine", "ERROR"):
+            self.end(Result(Outcome.ERROR))
+        self.assertEqual(self.answers, [Answer(Verdict.FAILED)])
+
+    def test_an_order_that_had_to_wait_does_not_go_to_a_store_that_drains(self) -> None:
+        """A connection takes up to 0.4 s to come up, and the rule gives 0.25 s from when we were told."""
+        self.ask()
+        self.end(Result(Outcome.MISS))
+        may_go = self.back.orders[1][0].may_go
+        self.assertTrue(may_go())
+        draining = self.member("s-origin", 2, 0, 2, Phase.DRAINING)  # as the source of the fill
+        self.engine.list_changed(api.ListKind.DELTA, 2, [draining])
+        self.assertFalse(may_go())
+
+    def test_an_attempt_at_a_store_that_left_the_list_never_ran(self) -> None:
+        op = self.ask()
+        self.end(Result(Outcome.MISS))
+        self.force = [api.Send(op, 12345, SECOND)]
+        self.end(Result(Outcome.ERROR))
+        self.assertEqual(self.ended()[2], (2, Outcome.CONNECT_FAILED, False))
+
+    def test_bodies_do_not_fill_the_memory(self) -> None:
+        self.ask(replace(WRITE, body=b"x" * 90))
+        self.ask(replace(WRITE, body=b"x" * 90))
+        self.assertEqual([a.verdict for a in self.answers], [Verdict.REFUSED])
+        self.end(Result(Outcome.OK))
+        self.assertEqual(self.engine.held, 0)
+        self.ask(replace(WRITE, body=b"x" * 90))
+        self.assertEqual((len(self.back.orders), len(self.answers)), (2, 2))
+
+    def test_a_purge_counts_from_when_it_was_made(self) -> None:
+        self.engine.purged("7f3a9c21e0b4d655", 0, self.clock.now - 2 * SECOND)
+        self.ask()
+        self.assertLess(self.back.orders[0][0].age_us, 2 * SECOND)
+
+    def test_numbers_come_from_the_text_alone(self) -> None:
+        """Every router must agree on them, or an object's fills meet at no one parent."""
+        self.assertEqual(store_number("s-00c41f7a"), 16219224708859055907)
+        self.assertNotEqual(object_number("0000000000000000"), 0)  # to the module, 0 means a whole group
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/real/test_exchanges.py
@@ -0,0 +1,34 @@
+"""Every recording in ``exchanges`` is played against the started program."""
+
+import subprocess
+import sys
+import unittest
+
+from tests.real.exchange import HERE, Program
+
+
+class Exchanges(unittest.TestCase):
+    def test_recordings(self) -> None:
+        names = sorted(path.stem for path in (HERE / "exchanges").glob("*.txt"))
+        self.assertTrue(names)
+        for name in names:
+            with self.subTest(name), Program() as program:
+                program.play(name)
+
+    def test_bytes_may_be_cut_anywhere(self) -> None:
+        for name in ("hit", "write_goes_to_the_origin"):
+            with self.subTest(name), Program(chop=1) as program:
+                program.play(name)
+
+    def test_no_recording_makes_the_program_trace_back(self) -> None:
+        with Program() as program:
+            program.play("bad_frame")
+            self.assertNotIn("Traceback", program.written())
+
+    def test_a_bad_configuration_is_one_plain_line(self) -> None:
+        done = subprocess.run([sys.executable, "-m", "magpieshift"], capture_output=True, text=True, env={})
+        self.assertEqual((done.returncode, done.stderr), (2, "magpieshift: EDGE_CONFIG is not set\n"))
+
+
+if __name__ == "__main__":
+    unittest.main()
