--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The tasks of the project; each works on a fresh checkout.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: build test lint run clean
+
+build: $(BIN)/pytest
+
+$(BIN)/pytest: pyproject.toml requirements.txt
+	test -d .venv || $(PYTHON) -m venv .venv
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[test]'
+	touch $@
+
+test: build
+	$(BIN)/pytest -q
+
+lint: build
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+# EDGE_CONFIG names the configuration; EDGE_LISTEN and EDGE_NAME win over what it says.
+run: build
+	$(BIN)/python -m magpieshift
+
+clean:
+	rm -rf .venv .venv-ci build .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/magpieshift/back/lines.py
+++ b/magpieshift/back/lines.py
@@ -18,7 +18,7 @@
     "full": Outcome.FULL,
     "failed": Outcome.ERROR,
     "moot": Outcome.MOOT,
-} | PROBE_WORDS
+}
 NOTES = ("warm", "fill", "deep_fill", "piggy", "aged", "bounced", "dropped", "lacking", "jammed", "backfire")
 OPTIONS = (
     (Mode.JOIN, "share"),
@@ -113,10 +113,12 @@
             words = raw[:-2].decode("ascii").split(" ")
         except UnicodeDecodeError as err:
             raise LineError(f"line is not text: {err}") from err
-        if not 2 <= len(words) <= 4 or words[1] not in WORDS:
+        if not 2 <= len(words) <= 4 or words[1] not in WORDS | PROBE_WORDS:
             raise LineError(f"line {raw[:80]!r}")
         head = Reply(words[0], words[1], read_fields(words[2]) if len(words) > 2 else {})
         if len(words) < 4:
+            if head.word == "data":  # without its length it would be served as an empty copy
+                raise LineError(f"line {raw[:80]!r}")
             return head
         if not words[3].isdecimal() or int(words[3]) > MOST_BODY:
             raise LineError(f"length {words[3][:20]!r}")
--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -6,15 +6,19 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import NamedTuple
 
 from magpieshift.back import lines
 from magpieshift.core.model import Order, Result
 from magpieshift.log import fields
+from molecleat.interface import Outcome
 
 log = logging.getLogger(__name__)
 
 Done = Callable[[Result], None]
+# A client that holds no copy cannot be told that it is current: it would be served nothing at all.
+NOTHING_KNOWN = {word: outcome for word, outcome in lines.WORDS.items() if word != "unchanged"}
 MOST_QUIT = 1024  # ids given up, each remembered until its late answer; a connection with more retires
 
 
@@ -37,13 +41,20 @@
     return {name: str(value) for name, value in values.items() if value or name in kept}
 
 
+class _Asked(NamedTuple):
+    """What is open under an id."""
+
+    done: Done
+    words: Mapping[str, Outcome]  # those that answer it
+
+
 class Link:
     """The protocol of one connection to a store."""
 
     def __init__(self, report: Sequence[str]) -> None:
         self._report = report
         self._parser = lines.ReplyParser()
-        self._open: dict[str, Done] = {}
+        self._open: dict[str, _Asked] = {}
         self._quit: set[str] = set()  # given up, and an answer to them may still be on its way
         self._probes = 0
 
@@ -57,7 +68,8 @@
     def ask(self, order: Order, now_us: int, done: Done) -> tuple[bytes, ...]:
         """What to write for an order."""
         call = order.call
-        self._open[call.ident] = done
+        words = lines.WORDS if call.known else NOTHING_KNOWN
+        self._open[call.ident] = _Asked(done, words)
         head = lines.ask(call.ident, order_fields(order, now_us), len(call.body))
         return (head, call.body, lines.END) if call.body else (head + lines.END,)
 
@@ -65,7 +77,7 @@
         """The tag of a probe, and what to write for it."""
         self._probes += 1
         tag = f"p{self._probes}"
-        self._open[tag] = done
+        self._open[tag] = _Asked(done, lines.PROBE_WORDS)
         return tag, lines.probe(tag, with_report)
 
     def give_up(self, ident: str, is_probe: bool = False) -> bytes:
@@ -76,14 +88,16 @@
         self._quit.add(ident)
         return b"" if is_probe else lines.quit_(ident)
 
-    def _release(self, ident: str) -> Done:
+    def _release(self, ident: str) -> _Asked:
         return self._open.pop(ident)
 
     def feed(self, data: bytes) -> Iterator[tuple[Done, Result]]:
         """The orders that these bytes end; ``LineError`` where the connection cannot go on."""
         for reply in self._parser.feed(data):
             if reply.ident in self._open:
-                yield self._release(reply.ident), self._result(reply)
+                if (outcome := self._open[reply.ident].words.get(reply.word)) is None:
+                    raise lines.LineError(f"{reply.word} does not answer {reply.ident}")
+                yield self._release(reply.ident).done, self._result(reply, outcome)
             elif reply.ident in self._quit:
                 self._quit.discard(reply.ident)
             else:
@@ -91,11 +105,11 @@
 
     def lost(self) -> list[Done]:
         """The connection is gone: all that was open on it."""
-        return [self._release(ident) for ident in list(self._open)]
+        return [self._release(ident).done for ident in list(self._open)]
 
-    def _result(self, reply: lines.Reply) -> Result:
+    def _result(self, reply: lines.Reply, outcome: Outcome) -> Result:
         return Result(
-            outcome=lines.WORDS[reply.word],
+            outcome=outcome,
             note=lines.note_number(reply.fields.get("how", "")),
             fill_wait_us=int(_number(reply.fields.get("lag", "")) * 1000),
             load=self._load(reply.fields.get("stats", "")),
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -7,6 +7,7 @@
     client-            close           client!          the program must close the connection
     term               SIGTERM         exit 0           the program must end, with this code
     says /PATTERN/     a line of the program's log must come
+    pause 1.5          let at least so many seconds pass
 
 BYTES are hexadecimal digits, "text" with backslash escapes, and in what is read /patterns/ as well. Waiting
 has a bound far above what any machine needs; nothing else depends on time.
@@ -155,6 +156,8 @@
             code = self.process.wait(PATIENCE_S)
             assert code == int(step[5:]), f"exit code {code}"
             return None
+        if step.startswith("pause "):
+            return time.sleep(float(step[6:]))
         if step.startswith("says "):
             return self.says(step[5:].strip()[1:-1])
         found = re.match(r"((\w+?)\d*)([-+<>!])(.*)", step)
--- /dev/null
+++ b/tests/real/test_front.py
@@ -0,0 +1,155 @@
+"""Clients that take nothing, ask too much, or cut their bytes oddly; on a stream of the test's own."""
+
+import asyncio
+import unittest
+from typing import Any
+from unittest import mock
+
+from tornado.iostream import StreamClosedError
+
+from magpieshift.clock import LoopClock
+from magpieshift.core.model import Answer, Verdict
+from magpieshift.front import server
+from magpieshift.front.frames import FrameError, FrameParser, Type, head, read_fields, write_fields
+from magpieshift.front.session import MOST_OPEN, Session
+
+FIELDS = {"c": "picture", "i": "00000000000000a1", "d": "900", "o": "7f3a9c21e0b4d655", "m": "9.5"}
+
+
+def request(stream: int, **changes: str) -> bytes:
+    return head(Type.REQUEST, stream, write_fields(FIELDS | changes))
+
+
+class FakeStream:
+    """Gives what it is fed, and takes nothing until it is told to."""
+
+    def __init__(self) -> None:
+        self.input: asyncio.Queue[bytes] = asyncio.Queue()
+        self.written: list[tuple[bytes, asyncio.Future[None]]] = []
+        self.set_nodelay, self.socket, self._closed = mock.Mock(), mock.Mock(), False
+
+    async def read_bytes(self, size: int, partial: bool) -> bytes:
+        if data := await self.input.get():
+            return data
+        raise StreamClosedError
+
+    def write(self, data: memoryview) -> "asyncio.Future[None]":
+        self.written.append((bytes(data), asyncio.get_running_loop().create_future()))
+        return self.written[-1][1]
+
+    def closed(self) -> bool:
+        return self._closed
+
+    def close(self) -> None:
+        self._closed = True
+        self.input.put_nowait(b"")
+
+
+class Clients(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.engine = mock.Mock(submit=mock.Mock(side_effect=range(1, 1000)))
+        self.server = server.FrontServer(self.engine, LoopClock(), {"picture": 0}, 2, 3 * server.HIGH_WATER)
+
+    async def join(self) -> FakeStream:
+        stream: Any = FakeStream()
+        asyncio.ensure_future(self.server.handle_stream(stream, ("127.0.0.1", 1)))
+        await self.settle()
+        return stream  # type: ignore[no-any-return]
+
+    async def settle(self) -> None:
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def ask(self, client: FakeStream, stream: int) -> Any:
+        """A request lands; the call that answers it."""
+        client.input.put_nowait(request(stream))
+        await self.settle()
+        return self.engine.submit.call_args.args[1]
+
+    async def test_who_takes_nothing_is_not_read_from_and_goes_before_memory_does(self) -> None:
+        slow, other = await self.join(), await self.join()
+        for stream in (1, 2):
+            (await self.ask(slow, stream))(Answer(Verdict.SERVED, bytes(server.HIGH_WATER // 2)))
+        self.assertGreater(self.server.held, server.HIGH_WATER)
+        reply = await self.ask(slow, 3)  # the read that was under way; the next waits
+        await self.ask(slow, 4)
+        self.assertEqual(self.engine.submit.call_count, 3)
+        with self.assertLogs(server.log, "WARNING"):
+            reply(Answer(Verdict.SERVED, bytes(5 * server.HIGH_WATER // 2)))
+        self.assertEqual((slow.closed(), other.closed(), self.server.held), (True, False, 0))
+
+    async def test_what_is_taken_is_counted_off(self) -> None:
+        client = await self.join()
+        (await self.ask(client, 1))(Answer(Verdict.SERVED, b"copy"))
+        self.assertTrue(self.server.owing)
+        for _, done in client.written:
+            done.set_result(None)
+        await self.settle()
+        self.assertEqual((self.server.held, self.server.owing), (0, False))
+
+    async def test_who_has_taken_nothing_for_long_is_let_go(self) -> None:
+        client = await self.join()
+        (await self.ask(client, 1))(Answer(Verdict.SERVED, b"copy"))
+        self.server.tidy()
+        self.assertFalse(client.closed())
+        with mock.patch.object(self.server.clock, "now_us", return_value=LoopClock().now_us() + 11_000_000):
+            self.server.tidy()
+        self.assertTrue(client.closed())
+
+    async def test_at_the_limit_an_idle_connection_makes_room_and_a_busy_one_does_not(self) -> None:
+        first, second = await self.join(), await self.join()
+        await self.ask(first, 1)
+        third = await self.join()
+        self.assertEqual([c.closed() for c in (first, second, third)], [False, True, False])
+        await self.ask(third, 1)
+        with self.assertLogs(server.log, "WARNING"):
+            fourth = await self.join()
+        self.assertEqual([c.closed() for c in (first, third, fourth)], [False, False, True])
+
+    async def test_a_connection_that_ends_gives_up_what_is_open(self) -> None:
+        client = await self.join()
+        await self.ask(client, 1)
+        client.input.put_nowait(b"")
+        await self.settle()
+        self.engine.abandon.assert_called_once_with(1)
+
+
+class Sessions(unittest.TestCase):
+    def test_frames_may_be_cut_anywhere(self) -> None:
+        data = request(1) + head(Type.ABANDON, 1)
+        for size in (1, 3, 1000):
+            parser = FrameParser()
+            cuts = [data[at : at + size] for at in range(0, len(data), size)]
+            frames = [frame for cut in cuts for frame in parser.feed(cut)]
+            self.assertEqual([(f.type, f.stream) for f in frames], [(1, 1), (3, 1)])
+            self.assertEqual(read_fields(frames[0].payload)[0], FIELDS)
+            self.assertEqual(parser.pending, 0)
+
+    def test_bad_lengths_are_told_before_anything_is_kept_for_them(self) -> None:
+        for length in (0, 4, 262_145):
+            with self.subTest(length), self.assertRaises(FrameError):
+                list(FrameParser().feed(length.to_bytes(4, "little")))
+
+    def test_the_request_past_the_last_is_refused(self) -> None:
+        session = Session({"picture": 0})
+        kinds = [type(e).__name__ for s in range(1, MOST_OPEN + 2) for e in session.feed(request(s))]
+        self.assertEqual(kinds, ["Asked"] * MOST_OPEN + ["Unusable"])
+
+    def test_streams_may_come_in_any_order_but_once(self) -> None:
+        session = Session({"picture": 0})
+        for stream in (3, 1, 2, 7):
+            list(session.feed(request(stream)))
+        for stream in (0, 2, 7):
+            with self.subTest(stream), self.assertRaises(FrameError):
+                list(session.feed(request(stream)))
+
+    def test_numbers_that_are_none_are_unusable(self) -> None:
+        bad = (("m", "nan"), ("d", "inf"), ("d", ""), ("slice", "-1"), ("set", "x"), ("i", "12"))
+        for field, value in bad:
+            with self.subTest(field=field):
+                (event,) = Session({"picture": 0}).feed(request(1, **{field: value}))
+                self.assertEqual(type(event).__name__, "Unusable")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/real/test_parts.py
@@ -0,0 +1,97 @@
+"""The parsers of the back and the feed, the log's formatter, and the configuration."""
+
+import logging
+import unittest
+from typing import Any
+from unittest import mock
+
+from magpieshift import ConfigError, parse
+from magpieshift.back.lines import LineError, ReplyParser
+from magpieshift.back.link import Link
+from magpieshift.back.pool import Pool, StorePool
+from magpieshift.clock import LoopClock
+from magpieshift.core.model import Result
+from magpieshift.feed.sse import ServerEvent, SseParser
+from magpieshift.log import KeyValueFormatter, fields
+from molecleat.interface import Outcome
+from tests.real.exchange import config, spell
+
+PORTS = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": "127.0.0.1:3"}
+
+
+class Parsers(unittest.TestCase):
+    def test_answers_may_be_cut_anywhere(self) -> None:
+        data = spell(r'"a1 data tag=x,lag=1.5 6\r\nab\r\ncd\r\n" "a2 absent - 0\r\n\r\n" "p1 well\r\n"')
+        for size in (1, 2, 7, 1000):
+            parser = ReplyParser()
+            cuts = [data[at : at + size] for at in range(0, len(data), size)]
+            replies = [reply for cut in cuts for reply in parser.feed(cut)]
+            wanted = [("a1", "data", b"ab\r\ncd"), ("a2", "absent", b""), ("p1", "well", b"")]
+            self.assertEqual([(r.ident, r.word, bytes(r.body)) for r in replies], wanted)
+
+    def test_lines_that_are_no_answers(self) -> None:
+        bad = (
+            b"\r\n", b"a1\r\n", b"a1 data - x\r\n", b"a1 data - 999999\r\n", b"a1 odd - 0\r\n", b"x" * 5000,
+            b"a1 full a 0\r\n", b"a1 full - 0\n", b"a1 full - 0\r\nxx", b"\xff a - 0\r\n", b"a1 data -\r\n",
+        )  # fmt: skip
+        for line in bad:
+            with self.subTest(line[:20]), self.assertRaises(LineError):
+                list(ReplyParser().feed(line))
+
+    def test_what_an_answer_tells(self) -> None:
+        link, done = Link(("util", "inflight")), mock.Mock()
+        link.probe(True, done)
+        ((ended, result),) = link.feed(b"p1 well how=jammed,lag=1.5,stats=inflight:7;util:0.61 0\r\n\r\n")
+        self.assertIs(ended, done)
+        self.assertEqual(result, Result(Outcome.OK, 9, 1500, (0.61, 7.0), bytearray()))
+
+    def test_events_may_be_cut_anywhere(self) -> None:
+        data = b": alive\r\n\r\nid: 4\r\ndata: {\r\ndata: }\r\n\r\nretry: 5\n\ndata:x\n\n"
+        for size in (1, 2, 5, 1000):
+            parser = SseParser()
+            cuts = [data[at : at + size] for at in range(0, len(data), size)]
+            events = [event for cut in cuts for event in parser.feed(cut)]
+            self.assertEqual(events, [ServerEvent("4", "{\n}"), ServerEvent("", "x")])
+
+    def test_log_lines_are_pairs(self) -> None:
+        record = logging.LogRecord("a.b", logging.INFO, "", 0, "two words", (), None)
+        record.__dict__ |= fields(id="x=1", n=3, text='say "so"\n')
+        line = KeyValueFormatter().format(record).split(" ", 1)[1]
+        self.assertEqual(line, 'level=info logger=a.b event="two words" id="x=1" n=3 text="say \\"so\\"\\n"')
+
+
+class Configuration(unittest.TestCase):
+    def test_it_is_read(self) -> None:
+        read = parse(config(PORTS), listen="127.0.0.1:80", name="n9")
+        self.assertEqual((read.name, read.listen, read.seed), ("n9", ("127.0.0.1", 80), 0xA7))
+        self.assertEqual(read.settings.zone_link_kb_per_s, (0.0, 90000.0))
+        self.assertEqual(read.names.report, ("util", "inflight", "x1"))
+
+    def test_a_bad_value_is_named_in_one_line(self) -> None:
+        bad: list[tuple[str, Any]] = [
+            ("changelog", "nowhere"), ("seed", "xyz"), ("limits", {"memory_mb": 1, "sockets": 3}),
+            ("settings", {}), ("known", 7), ("listen", "here:70000"),
+        ]  # fmt: skip
+        for key, value in bad:
+            with self.subTest(key), self.assertRaisesRegex(ConfigError, key) as caught:
+                parse(config(PORTS) | {key: value})
+            self.assertNotIn("\n", str(caught.exception))
+
+
+class Descriptors(unittest.IsolatedAsyncioTestCase):
+    async def test_stores_share_them(self) -> None:
+        """One store may take no more than its part, and all no more than there are."""
+        pool = Pool(LoopClock(), (), 400_000, 15_000_000, 32, most_connections=8)
+        stores = [StorePool(pool, name, ("127.0.0.1", 9)) for name in "abcd"]
+        pool._stores = dict(enumerate(stores))
+        opened = [0] * len(stores)
+        for _ in range(20):
+            for index, store in enumerate(stores):
+                if pool.may_open(store):
+                    store.connections.append(mock.Mock())
+                    opened[index] += 1
+        self.assertEqual(opened, [2, 2, 2, 2])
+
+
+if __name__ == "__main__":
+    unittest.main()
