--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -64,7 +64,6 @@
             raise Gap(f"change {self.last + 1} is missing before {seq}")
         self.last = seq
         self._apply(event)
-        log.info("change applied", extra=fields(seq=seq))
 
     def _apply(self, event: Any, first: bool = False) -> None:
         """Tell the core; what cannot be read is logged in one line and changes nothing."""
@@ -75,6 +74,8 @@
                 self._purge(event["invalidate"])
         except Exception as err:
             log.warning("unreadable change", extra=fields(reason=f"{type(err).__name__}: {err}"[:200]))
+        else:
+            log.info("change applied", extra=fields(seq=event.get("seq", 0)))
 
     def _fleet(self, fleet: Mapping[str, Any], first: bool) -> None:
         members = []
