Keep a client's or a store's broken socket from reaching the other side

IOStream.write closes the stream when the first chunk meets a reset, and raises StreamClosedError at the second. In front/server.py that went up through the engine into the read loop of the store's connection which had brought the answer, and closed it with all that was open on it; in back/pool.py it left the engine with an attempt that only its time-out would end.

Both drivers now take it as the end of their own connection, and the engine logs a front that raises instead of passing it on. Three tests; without the fix those of the front and of the engine fail.

Also: a store's process is told from its successor in StorePool alone, not in a second table beside it.

--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Iterable, Sequence
@@ -114,7 +115,8 @@
         self._send(chunks)
 
     def _send(self, chunks: Iterable[bytes]) -> None:
-        if not self._stream.closed():
+        """Write; where the first chunk finds the connection broken, ``_run`` is about to end it."""
+        with contextlib.suppress(StreamClosedError):
             for chunk in chunks:
                 self._stream.write(chunk)
 
@@ -125,8 +127,8 @@
             quit_line = self.link.give_up(ticket.ident, ticket.order is None)
             if quit_line:
                 self._send((quit_line,))
-            if self.silent(self._clock.now_us()) or not len(self.link):
-                self.retired = self.retired or self._clock.now_us() - self._heard_us > SILENT_US
+            if self._clock.now_us() - self._heard_us > SILENT_US:
+                self.retired = True
         self.rest()
 
     def rest(self) -> None:
@@ -160,8 +162,9 @@
 class StorePool:
     """The connections to one store."""
 
-    def __init__(self, back: Pool, ident: str, address: tuple[str, int]) -> None:
-        self.back, self.ident, self.address = back, ident, address
+    def __init__(self, back: Pool, member: Member) -> None:
+        self.back, self.ident, self.address = back, member.ident, member.address
+        self._up_since_us = member.entry.up_since_us
         self.connections: list[Connection] = []
 
     def carry(self, ticket: Ticket) -> bool:
@@ -181,6 +184,10 @@
         best.carry(ticket)
         return True
 
+    def leads_to(self, member: Member) -> bool:
+        """Whether these connections are to the process that is listed."""
+        return (self.address, self._up_since_us) == (member.address, member.entry.up_since_us)
+
     def retire(self, process_is_gone: bool) -> None:
         """Take nothing new on these connections, and let what is open end; unless the process that they lead
         to is known to have been replaced, since then they may stay silent for ever."""
@@ -220,7 +227,6 @@
         self._idle_us, self._most = int(idle_us * IDLE_SHARE), most_connections
         self._stores: dict[int, StorePool] = {}
         self._leaving: list[StorePool] = []  # gone, or replaced by a new process or address
-        self._up_since: dict[int, int] = {}
 
     def start(self, order: Order, done: Done) -> Ticket:
         ticket = Ticket(order, order.call.ident, done)
@@ -252,19 +258,17 @@
     def _store(self, member: Member) -> StorePool:
         """Connections belong to the process that was listed: one that restarts, or moves, gets new ones, for
         the old may be silent for ever."""
-        number, since = member.entry.store, member.entry.up_since_us
+        number = member.entry.store
         pool = self._stores.get(number)
-        if pool is not None and (pool.address != member.address or self._up_since.get(number) != since):
+        if pool is not None and not pool.leads_to(member):
             self._leave(number, process_is_gone=True)
             pool = None
         if pool is None:
-            pool = self._stores[number] = StorePool(self, member.ident, member.address)
-            self._up_since[number] = since
+            pool = self._stores[number] = StorePool(self, member)
         return pool
 
     def _leave(self, number: int, process_is_gone: bool = False) -> None:
         pool = self._stores.pop(number)
-        self._up_since.pop(number, None)
         pool.retire(process_is_gone)
         if pool.connections:
             self._leaving.append(pool)
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -78,7 +78,7 @@
         self._members: dict[int, Member] = {}
         self._requests: dict[int, _Open] = {}
         self._events: list[api.Event] = []
-        self._flushing = self._flush_due = False
+        self._flush_due = False
         self._last_op = 0
         self.open_requests = 0
         self.held = 0  # bytes of the bodies of open requests
@@ -318,4 +318,7 @@
             self._give_up(request.out, Outcome.CANCELLED)
         request.call = replace(request.call, body=b"")
         if answer is not None and reply is not None:
-            reply(answer)
+            try:
+                reply(answer)
+            except Exception:  # a front's trouble with one client must not reach the store that answered
+                log.exception("answer not passed on", extra=fields(id=request.call.ident))
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -42,7 +42,7 @@
         self._feed.alive()
         try:
             for event in self._parser.feed(chunk):
-                self._feed.log.event(event.data, event.ident)
+                self._feed.changes.event(event.data, event.ident)
         except (Gap, SseError) as err:
             log.warning("change log broken off", extra=fields(reason=err))
             self._stream.close()
@@ -52,7 +52,7 @@
     """Owner of the one connection to the change log."""
 
     def __init__(self, address: tuple[str, int], changes: ChangeLog) -> None:
-        self._address, self.log = address, changes
+        self._address, self.changes = address, changes
         self._task: asyncio.Task[None] | None = None
         self._heard = 0.0
 
@@ -97,7 +97,7 @@
                 {
                     "Host": f"{host}:{port}",
                     "Accept": "text/event-stream",
-                    "Last-Event-ID": str(self.log.last),
+                    "Last-Event-ID": str(self.changes.last),
                 }
             )
             await http.write_headers(RequestStartLine("GET", "/changes", "HTTP/1.1"), headers)
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -137,8 +137,11 @@
         if self._stream.closed() or not chunks:
             return
         size = sum(map(len, chunks))
-        for chunk in chunks:
-            done = self._stream.write(memoryview(chunk))
+        try:
+            for chunk in chunks:
+                done = self._stream.write(memoryview(chunk))
+        except StreamClosedError:
+            return  # the first chunk found the client gone; whoever brought its answer must not suffer
         if not done.done():
             self._hold(size)
             done.add_done_callback(lambda _: self._hold(-size))
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -209,6 +209,13 @@
         self.ask(replace(WRITE, body=b"x" * 90))
         self.assertEqual((len(self.back.orders), len(self.answers)), (2, 2))
 
+    def test_a_front_that_raises_does_not_hurt_the_back(self) -> None:
+        self.engine.submit(CALL, mock.Mock(side_effect=OSError))
+        self.clock.run()
+        with self.assertLogs("magpieshift.core.engine", "ERROR"):
+            self.end(Result(Outcome.OK))
+        self.assertEqual((self.engine.open_requests, self.ended()), (0, [(0, Outcome.OK, True)]))
+
     def test_a_purge_counts_from_when_it_was_made(self) -> None:
         self.engine.purged("7f3a9c21e0b4d655", 0, self.clock.now - 2 * SECOND)
         self.ask()
--- a/tests/real/test_front.py
+++ b/tests/real/test_front.py
@@ -106,6 +106,14 @@
             fourth = await self.join()
         self.assertEqual([c.closed() for c in (first, third, fourth)], [False, False, True])
 
+    async def test_a_client_found_gone_by_the_first_chunk_does_not_raise(self) -> None:
+        """It would have closed the store's connection that brought the answer, with all that was on it."""
+        client = await self.join()
+        reply = await self.ask(client, 1)
+        with mock.patch.object(client, "write", side_effect=StreamClosedError):
+            reply(Answer(Verdict.SERVED, b"copy"))
+        self.assertEqual(self.server.held, 0)
+
     async def test_a_connection_that_ends_gives_up_what_is_open(self) -> None:
         client = await self.join()
         await self.ask(client, 1)
--- a/tests/real/test_parts.py
+++ b/tests/real/test_parts.py
@@ -1,10 +1,13 @@
 """The parsers of the back and the feed, the log's formatter, and the configuration."""
 
+import asyncio
 import logging
 import unittest
 from typing import Any
 from unittest import mock
 
+from tornado.iostream import StreamClosedError
+
 from magpieshift import ConfigError, parse
 from magpieshift.back.lines import LineError, ReplyParser
 from magpieshift.back.link import Link
@@ -78,11 +81,26 @@
             self.assertNotIn("\n", str(caught.exception))
 
 
+class Connections(unittest.IsolatedAsyncioTestCase):
+    async def test_a_store_found_gone_by_the_first_chunk_does_not_raise(self) -> None:
+        """The engine was left with an attempt that nothing would end before its time-out."""
+        pool, results = Pool(LoopClock(), (), 400_000, 15_000_000, 32, most_connections=8), list[Result]()
+        with mock.patch("magpieshift.back.pool.IOStream") as stream:
+            stream.return_value.connect = mock.AsyncMock()
+            stream.return_value.read_bytes = mock.AsyncMock(side_effect=StreamClosedError)
+            stream.return_value.write = mock.Mock(side_effect=StreamClosedError)
+            stream.return_value.closed.return_value = False
+            pool.probe(mock.Mock(), results.append)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        self.assertEqual(results, [Result(Outcome.RESET)])
+
+
 class Descriptors(unittest.IsolatedAsyncioTestCase):
     async def test_stores_share_them(self) -> None:
         """One store may take no more than its part, and all no more than there are."""
         pool = Pool(LoopClock(), (), 400_000, 15_000_000, 32, most_connections=8)
-        stores = [StorePool(pool, name, ("127.0.0.1", 9)) for name in "abcd"]
+        stores = [StorePool(pool, mock.Mock()) for _ in range(4)]
         pool._stores = dict(enumerate(stores))
         opened = [0] * len(stores)
         for _ in range(20):
