Tell a module that raised again of drains and purges, and never set its time back

What a batch held was lost to a module that raised on it: with a drain or a purge among it, the next request broke a rule. Each such event is now told once more by itself, and the engine sends nothing to a store that its own list does not allow. Its clock is kept from going back: with the system's set back by 10,000 s the module's decaying sums overflowed (OverflowError in _prompt), and every request was refused from then on.

A store's size that is no number is refused with its member: it would have made every comparison false. Clients keep to a third of the descriptors, but one may be seen to come before another is seen to go: 24 more are theirs.

Each has a test; without the fix for the clock its test fails.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -24,6 +24,7 @@
 log = logging.getLogger(__name__)
 
 RESERVED = 48  # descriptors for the listener, the change log, the log, the event loop and what is closing
+SLACK = 24  # clients keep to a third, but we may see one come before we see another go
 DRAIN_S = 0.8  # new connections come for 0.4 s after SIGTERM, and requests on open ones for 0.2 s more
 LAST_CALL_S = 0.45  # by then nobody comes new: connections made since SIGTERM are told as well
 TIDY_S = 1.0
@@ -37,7 +38,7 @@
         self._config = config
         clock = LoopClock()
         settings, part = config.settings, int(config.limits.memory_mb * (1 << 20) / MEMORY_PARTS)
-        clients = config.limits.sockets // 3  # the rest is for stores, as far as there is memory for answers
+        clients = config.limits.sockets // 3 + SLACK  # the rest is for stores, if there is memory for answers
         stores = min(config.limits.sockets - clients - RESERVED, max(16, part // MOST_BODY))
         self._pool = Pool(
             clock,
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -125,7 +125,7 @@
     except ValueError:
         raise ConfigError(f"configuration has a bad seed: {seed!r}") from None
     limits = Limits(_get(data, "limits.memory_mb", (int, float)), _get(data, "limits.sockets", int))
-    if limits.sockets < 64:
+    if limits.sockets < 192:
         raise ConfigError(f"limits.sockets is too small to serve with: {limits.sockets}")
     return Config(
         name=name or str(data.get("name", "")),
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -79,7 +79,7 @@
         self._requests: dict[int, _Open] = {}
         self._events: list[api.Event] = []
         self._flush_due = False
-        self._last_op = 0
+        self._last_op = self._module_us = 0
         self.open_requests = 0
         self.held = 0  # bytes of the bodies of open requests
 
@@ -149,12 +149,14 @@
         events, self._events = self._events, []
         if not events:
             return
+        # the clock may be set back, and the module is promised that its time never is
+        self._module_us = max(self._module_us, self._clock.now_us())
         try:
-            actions = self._router.handle(self._clock.now_us(), events)
+            actions = self._router.handle(self._module_us, events)
         except Exception:
             log.exception("module raised", extra=fields(events=len(events)))
             self._answer_for_module(events)
-            return
+            actions = self._tell_again(events)
         for action in actions:
             try:
                 self._do(action)
@@ -162,6 +164,18 @@
                 log.exception("action failed", extra=fields(action=type(action).__name__))
                 self._answer_for_module([action])
 
+    def _tell_again(self, events: Iterable[api.Event]) -> list[api.Action]:
+        """The module broke off, and may have missed what stays true: drains and purges, which the rules hold
+        us to. Each is told once more, by itself; telling it twice does no harm."""
+        actions: list[api.Action] = []
+        for event in events:
+            if isinstance(event, api.StoreList | api.Purged):
+                try:
+                    actions += self._router.handle(self._module_us, [event])
+                except Exception:
+                    log.exception("module raised again", extra=fields(event_type=type(event).__name__))
+        return actions
+
     def _answer_for_module(self, said: Iterable[api.Event | api.Action]) -> None:
         """The module broke off: what it was deciding on has no attempt out and would never be answered.
         Requests it had not come to are covered by their deadline."""
@@ -228,9 +242,10 @@
         timeout_us = min(timeout_us or left, left)
         if request.reply is None or timeout_us <= 0 or attempt.number >= self._settings.max_attempts:
             return self._settle(attempt, Result(Outcome.MOOT))
-        target, supplier = self._members.get(store), self._members.get(source)
-        if target is None or supplier is None:  # it left the list in this very batch: nothing was sent
+        if not self._may_go(store, source):
+            log.error("attempt at a store that may not be sent to", extra=fields(id=request.call.ident))
             return self._settle(attempt, Result(Outcome.CONNECT_FAILED))
+        target, supplier = self._members[store], self._members[source]
         if target.entry.kind == self._settings.parent_kind:
             keep = 0  # parents know no ranks
         by, deadline = (supplier if source != store else None), now + timeout_us
@@ -240,8 +255,8 @@
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
     def _may_go(self, store: int, source: int) -> bool:
-        """Whether an order that had to wait for a connection may still be written: its store, or its source,
-        may have begun to drain meanwhile, and the rule counts from when we were told."""
+        """Whether the list allows an order. Asked again when one that had to wait for its connection is about
+        to be written: its store or source may drain by then, and the rule counts from when we were told."""
         parties = (self._members.get(store), self._members.get(source))
         return all(member is not None and member.entry.phase == Phase.READY for member in parties)
 
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -92,14 +92,17 @@
         ident, names, phase = str(raw["id"]), self._names, PHASES[raw["phase"]]
         if not ident or any(mark in ident for mark in " ,=\r\n"):
             raise ValueError(f"id {ident!r}")
+        weight = float(raw.get("size", 1.0))
+        if not 0 < weight < 1e9:  # also false for what is no number: it would poison every comparison
+            raise ValueError(f"size {weight}")
         entry = api.Entry(
             store=store_number(ident),
             zone=names.zones.index(raw["locality"]),
             kind=names.kinds.index(raw["flavor"]),
             cell=int(raw.get("cell", 0)),
             phase=phase,
-            weight=float(raw.get("size", 1.0)),
-            up_since_us=int(raw.get("up_since_ms", 0) * 1000),
+            weight=weight,
+            up_since_us=max(0, int(raw.get("up_since_ms", 0) * 1000)),
         )
         return Member(ident, address(raw["host_port"], "host_port"), entry)
 
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -209,6 +209,35 @@
         self.ask(replace(WRITE, body=b"x" * 90))
         self.assertEqual((len(self.back.orders), len(self.answers)), (2, 2))
 
+    def test_a_module_that_raises_hears_of_drains_and_purges_all_the_same(self) -> None:
+        """What was in the batch was lost to it, and it went on sending to a store that drains."""
+        drains = self.member("s-cache", 0, 1, 1, Phase.DRAINING)
+        self.engine.list_changed(api.ListKind.DELTA, 2, [drains])
+        self.engine.purged("", 17, self.clock.now - SECOND)
+        self.force = IndexError("no such store")
+        with self.assertLogs("magpieshift.core.engine", "ERROR"):
+            self.clock.run()
+        self.ask()
+        self.assertEqual([o.target.ident for o, _ in self.back.orders], ["s-origin"])
+        self.assertIn((0, 17), self.engine._router.purges)
+
+    def test_nothing_is_sent_to_a_store_that_drains_even_if_the_module_says_so(self) -> None:
+        op = self.ask()
+        self.engine.list_changed(api.ListKind.DELTA, 2, [self.member("s-cache", 0, 1, 1, Phase.DRAINING)])
+        self.clock.run()
+        self.force = [api.Send(op, self.members[0].entry.store, SECOND)]
+        with self.assertLogs("magpieshift.core.engine", "ERROR"):
+            self.end(Result(Outcome.MISS))
+        self.assertEqual(self.ended()[1], (1, Outcome.CONNECT_FAILED, False))
+
+    def test_the_modules_time_is_never_set_back(self) -> None:
+        """Its sums decay by the time passed; with a clock set back they grew past what a float holds."""
+        self.ask()
+        self.end(Result(Outcome.OK, note=1))
+        self.clock.now -= 10_000 * SECOND
+        self.ask()
+        self.assertEqual(len(self.back.orders), 2)
+
     def test_a_front_that_raises_does_not_hurt_the_back(self) -> None:
         self.engine.submit(CALL, mock.Mock(side_effect=OSError))
         self.clock.run()
--- a/tests/real/test_parts.py
+++ b/tests/real/test_parts.py
@@ -14,6 +14,7 @@
 from magpieshift.back.pool import Pool, StorePool
 from magpieshift.clock import LoopClock
 from magpieshift.core.model import Result
+from magpieshift.feed.changes import ChangeLog
 from magpieshift.feed.sse import ServerEvent, SseParser
 from magpieshift.log import KeyValueFormatter, fields
 from molecleat.interface import Outcome
@@ -63,6 +64,22 @@
         self.assertEqual(line, 'level=info logger=a.b event="two words" id="x=1" n=3 text="say \\"so\\"\\n"')
 
 
+class Changes(unittest.TestCase):
+    def test_an_unreadable_member_does_not_hide_the_others(self) -> None:
+        """A size that is no number would have made every comparison of caches false."""
+        read, listener = parse(config(PORTS)), mock.Mock()
+        (fleet, _) = read.known["results"]
+        good = fleet["fleet"]["members"]
+        bad = [{"size": float("nan")}, {"id": "a b"}, {"locality": "moon"}, {"host_port": "x"}, {"phase": 1}]
+        fleet["fleet"]["members"] = [good[0] | change for change in bad] + good
+        with self.assertLogs("magpieshift.feed.changes", "WARNING") as logs:
+            ChangeLog(read.names, listener).known(read.known)
+        self.assertEqual(len([r for r in logs.records if r.levelno == logging.WARNING]), len(bad))
+        (kind, version, members), _ = listener.list_changed.call_args
+        self.assertEqual([kind, version, *(m.ident for m in members)], [2, 1, "s-cache", "s-origin"])
+        listener.purged.assert_called_once_with("", 200, 1_764_576_000_480_000)
+
+
 class Configuration(unittest.TestCase):
     def test_it_is_read(self) -> None:
         read = parse(config(PORTS), listen="127.0.0.1:80", name="n9")
