--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -45,7 +45,7 @@
 class _Open:
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
-    __slots__ = ("call", "deadline_us", "legs", "may_have_run", "op", "out", "reply", "timer")
+    __slots__ = ("call", "deadline_us", "legs", "may_have_run", "op", "out", "reply")
 
     def __init__(self, op: int, call: Call, reply: Reply, deadline_us: int) -> None:
         self.op, self.call, self.deadline_us = op, call, deadline_us
@@ -53,7 +53,6 @@
         self.out: _Attempt | None = None
         self.legs = 0
         self.may_have_run = False
-        self.timer: Handle | None = None
 
 
 class _Attempt:
@@ -93,7 +92,7 @@
         self._requests[request.op] = request
         self.open_requests += 1
         self.held += len(call.body)
-        request.timer = self._clock.after(call.patience_us, lambda: self._overdue(request))
+        self._clock.after(call.patience_us, lambda: self._overdue(request))
         if self.held > self._most_held:  # memory is bounded, whatever clients write
             log.warning("bodies fill the memory", extra=fields(held=self.held))
             no = Answer(Verdict.REFUSED, retry_after_us=self._settings.max_retry_after_us)
--- a/magpieshift/front/session.py
+++ b/magpieshift/front/session.py
@@ -107,6 +107,7 @@
         self._classes = classes
         self._parser = frames.FrameParser()
         self._open: set[int] = set()
+        self._told_no_more = False
         self._used_to = 0  # every id up to here has been used,
         self._used: set[int] = set()  # and these above it
 
@@ -175,7 +176,10 @@
         return (frames.head(Type.READY, stream, bytes((code,)) + frames.write_fields({})),)
 
     def no_more(self) -> Chunks:
-        """Tell the client to send no new request on this connection."""
+        """Tell the client, once, to send no new request on this connection."""
+        if self._told_no_more:
+            return ()
+        self._told_no_more = True
         return (frames.head(Type.NO_MORE, 0),)
 
     def error(self, text: str) -> Chunks:
