Make the recordings independent of the machine's speed

A connection counted as silent after 0.6 s, and the second client of planned_end.txt had to come within 0.45 s of SIGTERM: on a machine that stalls between two steps either recording would have failed.

--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -9,6 +9,9 @@
     says /PATTERN/     a line of the program's log must come
     pause 1.5          let at least so many seconds pass
 
+A connection counts as silent only after a minute, so that a slow machine makes no difference; except in the
+recordings named ``silent_...``, which wait for it.
+
 BYTES are hexadecimal digits, "text" with backslash escapes, and in what is read /patterns/ as well. Waiting
 has a bound far above what any machine needs; nothing else depends on time.
 """
@@ -32,6 +35,14 @@
 ROOT = HERE.parent.parent
 LISTENERS = ("cache", "origin", "log")
 PATIENCE_S = 20.0
+PATIENT = """
+import sys
+from magpieshift import app
+from magpieshift.back import pool
+from magpieshift.feed import client
+pool.SILENT_US, client.SILENCE_S = 60_000_000, 60.0
+sys.exit(app.main())
+"""
 TOKEN = re.compile(
     r'\s*(?:(?P<text>"(?:[^"\\]|\\.)*")|/(?P<re>(?:[^/\\]|\\.)*)/|(?P<hex>[0-9a-f]+)|(?P<end>#.*))'
 )
@@ -99,7 +110,7 @@
 class Program:
     """The program under test, with a listener for each party it talks to."""
 
-    def __init__(self, chop: int = 0) -> None:
+    def __init__(self, chop: int = 0, patient: bool = True) -> None:
         self.chop = chop
         self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in LISTENERS}
         with socket.create_server(("127.0.0.1", 0)) as free:
@@ -111,7 +122,10 @@
         env = {"EDGE_CONFIG": str(path), "EDGE_LISTEN": f"127.0.0.1:{self.port}", "EDGE_NAME": "n1"}
         self.log = (Path(self.folder.name) / "log").open("w+b")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "magpieshift"], env=os.environ | env, stderr=self.log, cwd=ROOT
+            [sys.executable, *(["-c", PATIENT] if patient else ["-m", "magpieshift"])],
+            env=os.environ | env,
+            stderr=self.log,
+            cwd=ROOT,
         )
         self.peers: dict[str, Peer] = {}
         self.says("event=ready")
--- a/tests/real/test_exchanges.py
+++ b/tests/real/test_exchanges.py
@@ -12,7 +12,7 @@
         names = sorted(path.stem for path in (HERE / "exchanges").glob("*.txt"))
         self.assertTrue(names)
         for name in names:
-            with self.subTest(name), Program() as program:
+            with self.subTest(name), Program(patient=not name.startswith("silent_")) as program:
                 program.play(name)
 
     def test_bytes_may_be_cut_anywhere(self) -> None:
--- a/tests/real/test_front.py
+++ b/tests/real/test_front.py
@@ -106,6 +106,14 @@
             fourth = await self.join()
         self.assertEqual([c.closed() for c in (first, third, fourth)], [False, False, True])
 
+    async def test_the_end_is_announced_once_and_to_those_who_come_late(self) -> None:
+        first = await self.join()
+        self.server.announce_end()
+        late = await self.join()
+        self.server.announce_end()
+        announced = [head(Type.NO_MORE, 0)]
+        self.assertEqual([[data for data, _ in c.written] for c in (first, late)], [announced, announced])
+
     async def test_a_client_found_gone_by_the_first_chunk_does_not_raise(self) -> None:
         """It would have closed the store's connection that brought the answer, with all that was on it."""
         client = await self.join()
