Read the configuration again on SIGHUP and follow the change log to its new address

Signal 1 was not handled at all (app._serve installed SIGTERM and SIGINT alone), and FeedClient could not change its address.

Now SIGHUP loads the file again.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -7,12 +7,15 @@
 import logging
 import signal
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
+from functools import partial
+from typing import NamedTuple
 
 from magpieshift.back.lines import MOST_BODY
 from magpieshift.back.pool import Pool
 from magpieshift.clock import LoopClock
-from magpieshift.config import Config, ConfigError, load
+from magpieshift.config import Config, ConfigError, Limits, load
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Member
 from magpieshift.feed.changes import ChangeLog
@@ -31,26 +34,39 @@
 MEMORY_PARTS = 4  # a quarter each for what is held for clients, for writes, for answers, and for the program
 
 
+class Bounds(NamedTuple):
+    """How the limits are shared out."""
+
+    clients: int  # connections
+    stores: int
+    bytes_each: int  # held for clients, of writes, of answers
+
+    @classmethod
+    def of(cls, limits: Limits) -> Bounds:
+        part = int(limits.memory_mb * (1 << 20) / MEMORY_PARTS)
+        clients = limits.sockets // 3 + SLACK  # the rest is for stores, if there is memory for answers
+        stores = min(limits.sockets - clients - RESERVED, max(16, part // MOST_BODY))
+        return cls(clients, stores, part)
+
+
 class EdgeRouter:
     """Owner of all the parts of one router."""
 
     def __init__(self, config: Config) -> None:
         self._config = config
         clock = LoopClock()
-        settings, part = config.settings, int(config.limits.memory_mb * (1 << 20) / MEMORY_PARTS)
-        clients = config.limits.sockets // 3 + SLACK  # the rest is for stores, if there is memory for answers
-        stores = min(config.limits.sockets - clients - RESERVED, max(16, part // MOST_BODY))
+        bounds = Bounds.of(config.limits)
         self._pool = Pool(
             clock,
             config.names.report,
-            settings.connect_timeout_us,
+            config.settings.connect_timeout_us,
             config.idle_us,
             config.streams_per_connection,
-            most_connections=stores,
+            most_connections=bounds.stores,
         )
-        self._engine = Engine(settings, config.seed, clock, self._pool, part)
+        self._engine = Engine(config.settings, config.seed, clock, self._pool, bounds.bytes_each)
         classes = {name: number for number, name in enumerate(config.names.classes)}
-        self._front = FrontServer(self._engine, clock, classes, clients, part)
+        self._front = FrontServer(self._engine, clock, classes, bounds.clients, bounds.bytes_each)
         self._changes = ChangeLog(config.names, self)
         self._feed = FeedClient(config.changelog, self._changes)
         self._stopping = asyncio.Event()
@@ -75,6 +91,22 @@
         """Begin a planned end; ``run`` returns when all that was taken is answered."""
         self._stopping.set()
 
+    def reload(self, config: Config) -> None:
+        """Go over to a new configuration without letting go of anything open: the change log may have moved,
+        and the limits may differ. What cannot change while running is told in one line and stays as it is."""
+        old = self._config
+        bounds = Bounds.of(config.limits)
+        self._feed.follow(config.changelog)
+        self._pool.most_connections = bounds.stores
+        self._front.most_connections = bounds.clients
+        self._engine.most_held = self._front.most_held = bounds.bytes_each
+        self._config = replace(old, changelog=config.changelog, limits=config.limits)
+        same = replace(config, changelog=old.changelog, limits=old.limits, known=old.known, seed=old.seed)
+        if same != old:
+            log.warning("configuration has changes that need a restart")
+        host, port = config.changelog
+        log.info("configuration reloaded", extra=fields(changelog=f"{host}:{port}"))
+
     async def run(self) -> None:
         """Serve until ``stop``, then drain."""
         self.start()
@@ -102,11 +134,20 @@
             self._front.tidy()
 
 
-async def _serve(config: Config) -> None:
+async def _serve(config: Config, read: Callable[[], Config]) -> None:
     router = EdgeRouter(config)
     loop = asyncio.get_running_loop()
+
+    def reload() -> None:
+        # SIGHUP is no end: unhandled, it killed the router with all that was open
+        try:
+            router.reload(read())
+        except ConfigError as err:
+            log.error("configuration not reloaded", extra=fields(reason=err))
+
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     gc.freeze()
     await router.run()
 
@@ -114,13 +155,14 @@
 def main(environ: Mapping[str, str] | None = None) -> int:
     """Run one edge router as the environment says; the process's exit code."""
     setup()
+    read = partial(load, environ)
     try:
-        config = load(environ)
+        config = read()
     except ConfigError as err:
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_serve(config))
+        asyncio.run(_serve(config, read))
     except OSError as err:
         print(f"magpieshift: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
         return 1
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -224,7 +224,7 @@
     ) -> None:
         self.clock, self.report, self.connect_timeout_us = clock, report, connect_timeout_us
         self.streams, self.streams_wanted = streams, min(streams, streams_wanted)
-        self._idle_us, self._most = int(idle_us * IDLE_SHARE), most_connections
+        self._idle_us, self.most_connections = int(idle_us * IDLE_SHARE), most_connections
         self._stores: dict[int, StorePool] = {}
         self._leaving: list[StorePool] = []  # gone, or replaced by a new process or address
 
@@ -285,9 +285,9 @@
 
     def may_open(self, store: StorePool) -> bool:
         """Whether the descriptors allow one more, shared evenly between the stores."""
-        pools = [*self._stores.values(), *self._leaving]
-        fair = max(2, self._most // max(1, len(self._stores)))
-        return len(store.connections) < fair and sum(len(p.connections) for p in pools) < self._most
+        opened = sum(len(pool.connections) for pool in [*self._stores.values(), *self._leaving])
+        fair = max(2, self.most_connections // max(1, len(self._stores)))
+        return len(store.connections) < fair and opened < self.most_connections
 
     def tidy(self) -> None:
         """Close what has been idle; called now and then."""
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -154,7 +154,7 @@
         raise ConfigError("EDGE_CONFIG is not set")
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as err:
+    except (OSError, ValueError, RecursionError) as err:
         raise ConfigError(f"EDGE_CONFIG cannot be read: {err}") from err
     if not isinstance(data, dict):
         raise ConfigError("EDGE_CONFIG does not hold an object")
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -72,7 +72,7 @@
     def __init__(
         self, settings: api.Settings, seed: int, clock: Clock, back: Back, most_held: int = 32 << 20
     ) -> None:
-        self._settings, self._clock, self._back, self._most_held = settings, clock, back, most_held
+        self._settings, self._clock, self._back, self.most_held = settings, clock, back, most_held
         self._router = Router(settings, seed)
         self._members: dict[int, Member] = {}
         self._requests: dict[int, _Open] = {}
@@ -93,7 +93,7 @@
         self.open_requests += 1
         self.held += len(call.body)
         self._clock.after(call.patience_us, lambda: self._overdue(request))
-        if self.held > self._most_held:  # memory is bounded, whatever clients write
+        if self.held > self.most_held:  # memory is bounded, whatever clients write
             log.warning("bodies fill the memory", extra=fields(held=self.held))
             no = Answer(Verdict.REFUSED, retry_after_us=self._settings.max_retry_after_us)
             self._clock.soon(lambda: self._answer(request.op, no))
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -59,6 +59,15 @@
     def start(self) -> None:
         self._task = asyncio.ensure_future(self._run())
 
+    def follow(self, address: tuple[str, int]) -> None:
+        """The log is to be had elsewhere from now on; its numbers go on. The old one tells nothing more,
+        so its connection is dropped at once."""
+        if address != self._address:
+            self._address = address
+            if self._task is not None:
+                self.stop()
+                self.start()
+
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -194,13 +194,12 @@
         self.engine, self.clock, self.classes = engine, clock, classes
         self.ready = False
         self.held = 0  # bytes held for all clients
-        self._most_held = most_held
-        self._most = most_connections
+        self.most_held, self.most_connections = most_held, most_connections
         self._connections: set[Connection] = set()
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         stream.set_nodelay(True)
-        if len(self._connections) >= self._most and not self._close_idle_one():
+        if len(self._connections) >= self.most_connections and not self._close_idle_one():
             log.warning("too many clients", extra=fields(open=len(self._connections)))
             return stream.close()
         connection = Connection(self, stream)
@@ -225,7 +224,7 @@
     def account(self, change: int) -> None:
         """Memory is bounded: the client for which most is held goes, and can tell that answers broke off."""
         self.held += change
-        if change > 0 and self.held > self._most_held:
+        if change > 0 and self.held > self.most_held:
             greediest = max(self._connections, key=lambda c: c.held)
             log.warning("slow client dropped", extra=fields(held=greediest.held))
             greediest.close()
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -6,6 +6,7 @@
     client> BYTES      write           client< BYTES    read, and compare
     client-            close           client!          the program must close the connection
     term               SIGTERM         exit 0           the program must end, with this code
+    hup LISTENER       SIGHUP; the file now has this listener as the change log, or with '-' cannot be read
     says /PATTERN/     a line of the program's log must come
     pause 1.5          let at least so many seconds pass
 
@@ -33,7 +34,7 @@
 
 HERE = Path(__file__).parent
 ROOT = HERE.parent.parent
-LISTENERS = ("cache", "origin", "log")
+LISTENERS = ("cache", "origin", "log", "moved")
 PATIENCE_S = 20.0
 PATIENT = """
 import sys
@@ -116,10 +117,10 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.folder = tempfile.TemporaryDirectory()
-        ports = {name: f"127.0.0.1:{s.getsockname()[1]}" for name, s in self.listeners.items()}
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(config(ports)))
-        env = {"EDGE_CONFIG": str(path), "EDGE_LISTEN": f"127.0.0.1:{self.port}", "EDGE_NAME": "n1"}
+        self.ports = {name: f"127.0.0.1:{s.getsockname()[1]}" for name, s in self.listeners.items()}
+        self.config = Path(self.folder.name) / "config.json"
+        self.config.write_text(json.dumps(config(self.ports)))
+        env = {"EDGE_CONFIG": str(self.config), "EDGE_LISTEN": f"127.0.0.1:{self.port}", "EDGE_NAME": "n1"}
         self.log = (Path(self.folder.name) / "log").open("w+b")
         self.process = subprocess.Popen(
             [sys.executable, *(["-c", PATIENT] if patient else ["-m", "magpieshift"])],
@@ -166,6 +167,10 @@
     def _step(self, step: str) -> None:
         if step == "term":
             return self.process.send_signal(signal.SIGTERM)
+        if step.startswith("hup "):
+            ports = self.ports | {"log": self.ports.get(step[4:], "")}
+            self.config.write_text(json.dumps(config(ports)) if ports["log"] else "{")
+            return self.process.send_signal(signal.SIGHUP)
         if step.startswith("exit "):
             code = self.process.wait(PATIENCE_S)
             assert code == int(step[5:]), f"exit code {code}"
