Expect of a cache what its present load allows, and leave a much slower one aside

Ruled out: the restarts (what was refused ended with the slowness, not with them), cold starts (6 refusals for want of a source), shunning (once).

At fault: Router._prompt (a slowness without the load it was measured under), Router._edge (nothing in flight made the slow cache the calm one). Now the slowness counts in proportion to what is in flight, and a cache slower than its median neighbour by more than two sending times gets one request at a time.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -28,6 +28,7 @@
 CAUTION = 2  # the slowing seen counts double: what is sent now meets that of what is already on its way
 SHUN_AT = 0.4  # share of recent failures above which a store is passed over
 SHUN_US = 1_000_000  # a failing store's pause, renewed while what is then tried fails
+SLUGGISH = 2.0  # by so many sending times slower than a median neighbour, a cache is left aside
 RATE_US = 8_000_000  # memory of the work each store answered, and of a slowness that no hit confirms
 
 
@@ -175,7 +176,7 @@
 
     def _prompt(self, job: Job, store: Store) -> bool:
         """Whether the answer can come within the aim, as slow as the store's hits have lately been."""
-        slower = store.took_us / store.ought_us - 1 if store.ought_us else 0.0
+        slower = store.slower_beside(store.flying + 1)
         slower *= math.exp((store.hit_us - self.now) / RATE_US)  # a store without hits must not stay shut
         expected = job.work_us * (1 + CAUTION * slower)
         return expected <= job.cls.aim_us + job.cls.aim_stretch * job.work_us
@@ -200,12 +201,18 @@
         """The object's cache: weighted rendezvous over the zone's ready ones that are well and have room;
         one with far more in flight than its part passes the excess on, as a full queue would."""
         ready = [s for s in self.caches.values() if s.entry.phase == Phase.READY]
-        per_weight = sum(s.flying for s in ready) / max(sum(s.entry.weight for s in ready), 1e-6)
+        usual = sorted(s.slower for s in ready)[(len(ready) - 1) // 2] if ready else 0.0
+        quick = [s for s in ready if s.slower <= SLUGGISH + 2 * usual]
+        per_weight = sum(s.flying for s in quick) / max(sum(s.entry.weight for s in quick), 1e-6)
         best: tuple[tuple[bool, int, float], Store | None] = ((self.cfg.may_pass_by, 0, -1.0), None)
         salt = mix(job.req.key) + job.req.part
         for store in (s for s in ready if s.entry.store not in job.failed):
             weight, unit = max(store.entry.weight, 1e-6), (mix(salt ^ store.salt) + 1) / (MASK + 2)
-            calm = store.flying < max(LEAST_CAP, (part := per_weight * weight) + SPREAD * math.sqrt(part))
+            part = per_weight * weight
+            if store in quick:
+                calm = int(store.flying < max(LEAST_CAP, part + SPREAD * math.sqrt(part)))
+            else:  # one at a time, to learn when it is well again
+                calm = 1 if store.flying == 0 and self._prompt(job, store) else -1
             rank = (self._usable(store), calm + 2 * (job.missed is store), weight / -math.log(unit))
             if rank > best[0] and self._has_room(store) and self._in_group(job, store):
                 best = (rank, store)
@@ -253,7 +260,7 @@
             age, mode = self._age(job), Mode.JOIN if self.cfg.joins_fills and keep else 0
             self.actions.append(api.Get(req.id, store.entry.store, timeout, by.entry.store, keep, age, mode))
         both = (store,) if source is None or source is store else (store, source)
-        self.attempts[req.id, job.legs] = Attempt(job, store, source, both, self.now)
+        self.attempts[req.id, job.legs] = Attempt(job, store, source, both, self.now, store.flying + 1)
         job.out = job.legs
         job.legs += 1
         for at in both:
@@ -315,6 +322,7 @@
             at.hit_us = self.now
             at.took_us = (1 - SMOOTH) * at.took_us + event.latency_us
             at.ought_us = (1 - SMOOTH) * at.ought_us + ought
+            at.crowd = (1 - SMOOTH) * at.crowd + ought * attempt.beside
         for at in attempt.both:
             at.flying -= 1
             if event.outcome not in UNANSWERED and (at is attempt.store or ok):
--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -36,8 +36,18 @@
     work_at: int = 0
     took_us: float = 0.0  # decaying sums over its hits: the time they took,
     ought_us: float = 0.0  # and the time their sending takes by itself
+    crowd: float = 0.0  # and the latter times what was in flight there, itself included
     hit_us: int = 0  # when the last came
 
+    @property
+    def slower(self) -> float:
+        """By how much its hits lately took longer than their sending, in multiples of that."""
+        return max(0.0, self.took_us / self.ought_us - 1) if self.ought_us else 0.0
+
+    def slower_beside(self, flying: int) -> float:
+        """The same with so many in flight: what a full link delays, it delays in proportion to them."""
+        return self.slower * flying * self.ought_us / self.crowd if self.crowd else 0.0
+
 
 @dataclass(slots=True)
 class Job:
@@ -69,3 +79,4 @@
     source: Store | None  # None: it only asks what the store holds
     both: tuple[Store, ...]  # whom it depends on, each once
     sent_us: int
+    beside: int  # in flight at the store, this one included
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -257,6 +257,28 @@
     assert isinstance(world.ask(6)[0], api.Get)
 
 
+def test_what_was_slow_in_a_crowd_is_not_refused_when_the_crowd_has_gone() -> None:
+    """A cache was taken for as slow as under its last load, ten seconds after it had nothing left to do."""
+    world = World(listed=api.StoreList(api.ListKind.CACHED, 1, (entry(11, CACHE), entry(31, ORIGIN))))
+    crowd = [a for key in range(20) for a in world.ask(key, size_kb=100.0) if isinstance(a, api.Get)]
+    ends = [api.Ended(a.id, Outcome.OK, 800_000, 0, True, api.Note.HIT, a.store, 0, ()) for a in crowd]
+    world.tell(*ends, after=800_000)
+    assert len(ends) == 20 and world.router.stores[11].slower > 6
+    assert isinstance(world.ask(5, size_kb=100.0)[0], api.Get)
+
+
+def test_a_cache_much_slower_than_its_neighbours_gets_one_request_at_a_time() -> None:
+    """Its part was refused for as long as it was slow, while the others had room (reload day)."""
+    world = World()
+    slow = world.router.stores[CACHES[0]]
+    slow.took_us, slow.ought_us, slow.crowd, slow.hit_us = 500_000.0, 100_000.0, 100_000.0, world.now
+    sent = [a for key in range(60) for a in world.ask(key, size_kb=10.0)]
+    assert all(isinstance(a, api.Get) for a in sent)
+    assert sum(isinstance(a, api.Get) and a.store == CACHES[0] for a in sent) == 1
+    big = [a for key in range(60) for a in world.ask(key, size_kb=200.0)]
+    assert all(isinstance(a, api.Get) and a.store != CACHES[0] for a in big)
+
+
 def test_waves_of_drains_leave_nothing_behind() -> None:
     world = World()
     for wave in range(20):
