Let go of clients that never come to a whole frame, and bound what a client may claim

A request that claims to wait for an hour kept its table entry and timer for an hour (Engine.submit, _overdue); groups up to 65,535 were taken where 255 is the last. A planned end waited without bound for what was open. A raw look at answers showed load reports under the settings' names (load_share, concurrent); the parser asked for util and inflight alone, so none was ever read: 0 of 26,190.

Now a whole frame is owed within 2 s, who never asked makes room first, 64 unusable requests end a connection and are logged once, waits end with the class's own, and 0.1 s before SIGKILL may come all that is open is answered.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import signal
@@ -30,7 +31,9 @@
 SLACK = 24  # clients keep to a third, but we may see one come before we see another go
 DRAIN_S = 0.8  # new connections come for 0.4 s after SIGTERM, and requests on open ones for 0.2 s more
 LAST_CALL_S = 0.45  # by then nobody comes new: connections made since SIGTERM are told as well
-TIDY_S = 1.0
+LAST_S = 0.6  # what is open so long after the longest wait is answered as it is; SIGKILL comes 0.1 s later
+LONGEST_WAIT_S = 3.0  # however long clients wait
+TIDY_S = 0.5
 MEMORY_PARTS = 4  # a quarter each for what is held for clients, for writes, for answers, and for the program
 
 
@@ -118,8 +121,12 @@
         await asyncio.sleep(LAST_CALL_S)
         self._front.announce_end()
         await asyncio.sleep(DRAIN_S - LAST_CALL_S)
-        while self._engine.open_requests or self._front.owing:
-            await asyncio.sleep(0.01)
+        waits_s = max(cls.deadline_us for cls in self._config.settings.classes) / 1e6
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(waits_s, LONGEST_WAIT_S) + LAST_S - DRAIN_S):
+                while self._engine.open_requests or self._front.owing:
+                    await asyncio.sleep(0.01)
+        self._engine.end_all()
         tidying.cancel()
         self._front.stop()
         self._front.close_all()
--- a/magpieshift/back/lines.py
+++ b/magpieshift/back/lines.py
@@ -20,6 +20,14 @@
     "moot": Outcome.MOOT,
 }
 NOTES = ("warm", "fill", "deep_fill", "piggy", "aged", "bounced", "dropped", "lacking", "jammed", "backfire")
+REPORT_WORDS = {  # other names under which a load report may carry the settings' fields
+    "load_share": "util",
+    "concurrent": "inflight",
+    "depth": "queue",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
 OPTIONS = (
     (Mode.JOIN, "share"),
     (Mode.SOURCE_HELD_ONLY, "peek"),
--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -120,9 +120,8 @@
     def _load(self, text: str) -> tuple[float, ...]:
         """A load report in the order of the settings; none if it is not whole."""
         values = dict(item.partition(":")[::2] for item in text.split(";") if ":" in item)
-        if not self._report or not all(name in values for name in self._report):
-            return ()
-        return tuple(_number(values[name]) for name in self._report)
+        found = [values.get(name) or values.get(lines.REPORT_WORDS.get(name, "")) for name in self._report]
+        return () if None in found else tuple(_number(value or "") for value in found)
 
 
 def _number(text: str) -> float:
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -18,16 +18,6 @@
 
 Address = tuple[str, int]
 
-REPORT_WORDS = {  # a load report's fields: the settings' names, and those on the sockets
-    "load_share": "util",
-    "concurrent": "inflight",
-    "depth": "queue",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
-
-
 class ConfigError(Exception):
     """A value is missing or cannot be used; the text is one plain line."""
 
@@ -139,7 +129,7 @@
             classes=tuple(str(_get(c, "Name", str)) for c in _get(nested, "Classes", list)),
             zones=_words(nested, "Zones"),
             kinds=_words(nested, "MachineTypes"),
-            report=tuple(REPORT_WORDS.get(column, column) for column in settings.report_columns),
+            report=settings.report_columns,
         ),
         idle_us=int(_get(nested, "Caps.ConnIdleUs", (int, float))),
         streams_per_connection=max(1, int(_get(nested, "Caps.MaxStreams", (int, float)))),
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -90,11 +90,13 @@
         before this returns."""
         taken = call.ident in self._idents
         self._last_op += 1
-        request = _Open(self._last_op, call, reply, self._clock.now_us() + call.patience_us)
+        # nobody waits longer than the class allows; an entry kept for an hour, with its timer, is a leak
+        patience_us = min(call.patience_us, self._settings.classes[call.cls].deadline_us)
+        request = _Open(self._last_op, call, reply, self._clock.now_us() + patience_us)
         self._requests[request.op] = request
         self.open_requests += 1
         self.held += len(call.body)
-        self._clock.after(call.patience_us, lambda: self._overdue(request))
+        self._clock.after(patience_us, lambda: self._overdue(request))
         if taken:  # stores know a request by its id: this would be a second attempt of the open one
             log.warning("id of an open request", extra=fields(id=call.ident))
             self._clock.soon(lambda: self._answer(request.op, Answer(Verdict.FAILED)))
@@ -109,7 +111,7 @@
         write = self._settings.classes[call.cls].write
         self._post(
             api.Request(
-                request.op, call.cls, 0, object_number(call.key), call.patience_us, call.size_kb,
+                request.op, call.cls, 0, object_number(call.key), patience_us, call.size_kb,
                 call.group, call.part, call.repeat, write,
             )
         )  # fmt: skip
@@ -122,6 +124,12 @@
             self._close(request, None)
             self._post(api.Hangup(op))
 
+    def end_all(self) -> None:
+        """Answer all that is open: the program must end, whether or not the stores have answered."""
+        for request in list(self._requests.values()):
+            if request.reply is not None:
+                self._close(request, self._sorry(request))
+
     # --- what the feed says
 
     def list_changed(self, kind: api.ListKind, version: int, members: Iterable[Member]) -> None:
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -22,6 +22,7 @@
 
 READ_SIZE = 65_536
 HIGH_WATER = 1 << 20  # unsent bytes of one connection, above which no more of it is read
+WHOLE_S = 2.0  # for a client to send a whole frame, from its connecting or from the frame's first byte
 IDLE_S = 60.0  # with nothing open; clients close after 4 s
 STALL_S = 10.0  # without taking a byte of its answers
 LINGER_S = 0.5  # for a client to read why it is being closed
@@ -39,13 +40,19 @@
         self._settled.set()
         self._drained.set()
         self._unsent = 0
-        self._ended = False
+        self._ended = self._told_unusable = False
         self.held = 0
+        self._owes_since_us: int | None = server.clock.now_us()  # since when a whole frame is to come
         self.heard_us = self._moved_us = server.clock.now_us()
 
     @property
     def busy(self) -> bool:
-        return bool(self._ops) or self.held > 0
+        return bool(self._ops) or self._unsent > 0
+
+    @property
+    def spare(self) -> tuple[bool, int]:
+        """The least goes first where room is needed: who has never asked, then who was silent longest."""
+        return self._session.frames > 0, self.heard_us
 
     @property
     def owing(self) -> bool:
@@ -58,8 +65,13 @@
                 await self._drained.wait()  # a client that does not take its answers is not read from
                 data = await self._stream.read_bytes(READ_SIZE, partial=True)
                 self.heard_us = self._server.clock.now_us()
+                before = self._session.frames
                 for event in self._session.feed(data):
                     self._on(event)
+                if self._session.pending == 0 and self._session.frames > before:
+                    self._owes_since_us = None
+                elif self._owes_since_us is None or self._session.frames > before:
+                    self._owes_since_us = self.heard_us
                 self._account()
         except FrameError as err:
             log.warning("bad frame", extra=fields(reason=err))
@@ -99,7 +111,9 @@
                 self._ops[stream] = engine.submit(call, lambda answer: self._answer(stream, answer))
                 self._settled.clear()
             case Unusable(reason=reason, verdict=verdict):
-                log.warning("unusable request", extra=fields(reason=reason))
+                if not self._told_unusable:  # once for each client, or one of them fills the log
+                    log.warning("unusable request", extra=fields(reason=reason))
+                self._told_unusable = True
                 self._write(self._session.answer(stream, Answer(verdict)))
             case Abandoned():
                 op = self._ops[stream]
@@ -128,6 +142,10 @@
         """Let this client go; ``serve`` ends with it."""
         self._end()
 
+    def late(self, past_us: int) -> bool:
+        """Whether it has owed a whole frame since then: some say nothing, or never come to an end."""
+        return self._owes_since_us is not None and self._owes_since_us < past_us
+
     def stalled(self, past_us: int) -> bool:
         """Whether it has taken nothing of its answers since then."""
         return self._unsent > 0 and self._moved_us < past_us
@@ -209,16 +227,17 @@
     def _close_idle_one(self) -> bool:
         idle = [c for c in self._connections if not c.busy]
         if idle:
-            min(idle, key=lambda c: c.heard_us).close()
+            min(idle, key=lambda c: c.spare).close()
         return bool(idle)
 
     def tidy(self) -> None:
         """Close connections on which nothing is open and nothing has come for long, and those whose clients
-        have long taken nothing of their answers. Called now and then."""
+        have long taken nothing of their answers or owe the rest of a frame. Called now and then."""
         now = self.clock.now_us()
-        idle, stall = now - int(IDLE_S * 1e6), now - int(STALL_S * 1e6)
+        idle, stall, whole = (now - int(1e6 * s) for s in (IDLE_S, STALL_S, WHOLE_S))
         for connection in list(self._connections):
-            if connection.stalled(stall) or (not connection.busy and connection.heard_us < idle):
+            unused = not connection.busy and connection.heard_us < idle
+            if unused or connection.stalled(stall) or connection.late(whole):
                 connection.close()
 
     def account(self, change: int) -> None:
--- a/magpieshift/front/session.py
+++ b/magpieshift/front/session.py
@@ -14,6 +14,7 @@
 from magpieshift.front.frames import Code, Frame, FrameError, Type
 
 MOST_OPEN = 32
+MOST_UNUSABLE = 64  # requests that cannot be used; who goes on sending them is let go
 MOST_AHEAD = 4096  # stream ids above the lowest unused one that may be out of order
 MARGIN_US = 30_000  # the client's wait began before its request was here; our answer takes time as well
 IDENT = re.compile(r"[0-9a-fA-F]{16}")
@@ -90,7 +91,7 @@
         class_name=name,
         key=_text(fields, "o", IDENT, needed=True),
         part=int(_number(fields, "slice", 2**31, "0")),
-        group=int(_number(fields, "set", 65_535, "0")),
+        group=int(_number(fields, "set", 255, "0")),
         size_kb=_number(fields, "m", 1e9, "0"),
         patience_us=max(1000, int(_number(fields, "d", 3_600_000) * 1000) - MARGIN_US),
         repeat=fields.get("r") == "1",
@@ -108,6 +109,8 @@
         self._parser = frames.FrameParser()
         self._open: set[int] = set()
         self._told_no_more = False
+        self._unusable = 0
+        self.frames = 0  # whole ones that have come
         self._used_to = 0  # every id up to here has been used,
         self._used: set[int] = set()  # and these above it
 
@@ -123,6 +126,7 @@
                 yield event
 
     def _event(self, frame: Frame) -> Event | None:
+        self.frames += 1
         if frame.type == Type.REQUEST:
             return self._request(frame)
         if frame.type == Type.ABANDON:
@@ -147,12 +151,18 @@
         crowded = len(self._open) >= MOST_OPEN
         self._open.add(stream)
         if crowded:
-            return Unusable(stream, "too many open requests", Verdict.REFUSED)
+            return self._cannot_use(stream, "too many open requests", Verdict.REFUSED)
         fields, at = frames.read_fields(frame.payload)
         try:
             return Asked(stream, read_call(fields, frame.payload[at:], self._classes))
         except _Unread as err:
-            return Unusable(stream, str(err))
+            return self._cannot_use(stream, str(err))
+
+    def _cannot_use(self, stream: int, reason: str, verdict: Verdict = Verdict.FAILED) -> Unusable:
+        self._unusable += 1
+        if self._unusable > MOST_UNUSABLE:
+            raise FrameError("too many requests that cannot be used")
+        return Unusable(stream, reason, verdict)
 
     def _release(self, stream: int) -> None:
         self._open.discard(stream)
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -10,8 +10,8 @@
     says /PATTERN/     a line of the program's log must come
     pause 1.5          let at least so many seconds pass
 
-A connection counts as silent only after a minute, so that a slow machine makes no difference; except in the
-recordings named ``silent_...``, which wait for it.
+A connection counts as silent, and a frame as late, only after a minute, so that a slow machine makes no
+difference; except in the recordings named ``silent_...``, which wait for it.
 
 BYTES are hexadecimal digits, "text" with backslash escapes, and in what is read /patterns/ as well. Waiting
 has a bound far above what any machine needs; nothing else depends on time.
@@ -41,7 +41,8 @@
 from magpieshift import app
 from magpieshift.back import pool
 from magpieshift.feed import client
-pool.SILENT_US, client.SILENCE_S = 60_000_000, 60.0
+from magpieshift.front import server
+pool.SILENT_US, client.SILENCE_S, server.WHOLE_S, app.LONGEST_WAIT_S = 60_000_000, 60.0, 60.0, 60.0
 sys.exit(app.main())
 """
 TOKEN = re.compile(
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -177,6 +177,18 @@
         self.clock.run()
         self.assertEqual([e for e in self.events if isinstance(e, api.Request | api.Ended)], [])
 
+    def test_nobody_is_waited_for_longer_than_the_class_allows(self) -> None:
+        """A client that claims to wait for an hour had its entry and timer kept for as long."""
+        self.ask(replace(CALL, patience_us=3600 * SECOND))
+        self.clock.run(60 * SECOND)
+        self.assertEqual((len(self.answers), self.engine._requests), (1, {}))
+
+    def test_at_the_very_end_all_that_is_open_is_answered(self) -> None:
+        self.ask()
+        self.engine.end_all()
+        self.assertEqual([a.verdict for a in self.answers], [Verdict.REFUSED])
+        self.assertEqual((len(self.back.quit), self.engine.open_requests), (1, 0))
+
     def test_a_module_that_raises_still_owes_nothing(self) -> None:
         """An error in the decisions once answered nobody until the deadline."""
         self.force = IndexError("no such store")
--- a/tests/real/test_front.py
+++ b/tests/real/test_front.py
@@ -11,7 +11,7 @@
 from magpieshift.core.model import Answer, Verdict
 from magpieshift.front import server
 from magpieshift.front.frames import FrameError, FrameParser, Type, head, read_fields, write_fields
-from magpieshift.front.session import MOST_OPEN, Session
+from magpieshift.front.session import MOST_OPEN, MOST_UNUSABLE, Session
 
 FIELDS = {"c": "picture", "i": "00000000000000a1", "d": "900", "o": "7f3a9c21e0b4d655", "m": "9.5"}
 
@@ -96,6 +96,28 @@
             self.server.tidy()
         self.assertTrue(client.closed())
 
+    async def test_who_owes_a_whole_frame_for_long_is_let_go_and_who_holds_on_is_not(self) -> None:
+        """Some connect by the hundreds and say nothing, or send messages that never end (rude day)."""
+        mute, half = await self.join(), await self.join()
+        self.server.most_connections = 3
+        holding = await self.join()
+        await self.ask(holding, 1)
+        half.input.put_nowait(request(1)[:20])
+        await self.settle()
+        self.server.tidy()
+        self.assertFalse(mute.closed() or half.closed())
+        with mock.patch.object(self.server.clock, "now_us", return_value=LoopClock().now_us() + 2_500_000):
+            self.server.tidy()
+        self.assertEqual([c.closed() for c in (mute, half, holding)], [True, True, False])
+
+    async def test_at_the_limit_who_has_never_asked_goes_first(self) -> None:
+        asked, mute = await self.join(), await self.join()
+        (await self.ask(asked, 1))(Answer(Verdict.REFUSED))
+        asked.written[-1][1].set_result(None)
+        await self.settle()
+        await self.join()
+        self.assertEqual((asked.closed(), mute.closed()), (False, True))
+
     async def test_at_the_limit_an_idle_connection_makes_room_and_a_busy_one_does_not(self) -> None:
         first, second = await self.join(), await self.join()
         await self.ask(first, 1)
@@ -151,6 +173,14 @@
         kinds = [type(e).__name__ for s in range(1, MOST_OPEN + 2) for e in session.feed(request(s))]
         self.assertEqual(kinds, ["Asked"] * MOST_OPEN + ["Unusable"])
 
+    def test_who_goes_on_sending_what_cannot_be_used_is_let_go(self) -> None:
+        session = Session({"picture": 0})
+        for stream in range(1, MOST_UNUSABLE + 1):
+            list(session.feed(request(stream, c="pictures")))
+            session.answer(stream, Answer(Verdict.FAILED))
+        with self.assertRaises(FrameError):
+            list(session.feed(request(MOST_UNUSABLE + 1, c="pictures")))
+
     def test_streams_may_come_in_any_order_but_once(self) -> None:
         session = Session({"picture": 0})
         for stream in (3, 1, 2, 7):
@@ -160,8 +190,8 @@
                 list(session.feed(request(stream)))
 
     def test_numbers_that_are_none_are_unusable(self) -> None:
-        bad = (("m", "nan"), ("d", "inf"), ("d", ""), ("slice", "-1"), ("set", "x"), ("i", "12"))
-        for field, value in bad:
+        bad = {"m": "nan", "d": "inf", "slice": "-1", "set": "x", "i": "12"}
+        for field, value in [*bad.items(), ("d", ""), ("set", "256")]:
             with self.subTest(field=field):
                 (event,) = Session({"picture": 0}).feed(request(1, **{field: value}))
                 self.assertEqual(type(event).__name__, "Unusable")
--- a/tests/real/test_parts.py
+++ b/tests/real/test_parts.py
@@ -43,11 +43,13 @@
                 list(ReplyParser().feed(line))
 
     def test_what_an_answer_tells(self) -> None:
-        link, done = Link(("util", "inflight")), mock.Mock()
-        link.probe(True, done)
-        ((ended, result),) = link.feed(b"p1 well how=jammed,lag=1.5,stats=inflight:7;util:0.61 0\r\n\r\n")
-        self.assertIs(ended, done)
-        self.assertEqual(result, Result(Outcome.OK, 9, 1500, (0.61, 7.0), bytearray()))
+        """A report goes by the settings' names; read by the others alone, none ever arrived."""
+        for stats in (b"inflight:7;util:0.61", b"concurrent:7;load_share:0.61"):
+            link, done = Link(("load_share", "concurrent")), mock.Mock()
+            link.probe(True, done)
+            ((ended, result),) = link.feed(b"p1 well how=jammed,lag=1.5,stats=%b 0\r\n\r\n" % stats)
+            self.assertIs(ended, done)
+            self.assertEqual(result, Result(Outcome.OK, 9, 1500, (0.61, 7.0), bytearray()))
 
     def test_events_may_be_cut_anywhere(self) -> None:
         data = b": alive\r\n\r\nid: 4\r\ndata: {\r\ndata: }\r\n\r\nretry: 5\n\ndata:x\n\n"
@@ -85,7 +87,7 @@
         read = parse(config(PORTS), listen="127.0.0.1:80", name="n9")
         self.assertEqual((read.name, read.listen, read.seed), ("n9", ("127.0.0.1", 80), 0xA7))
         self.assertEqual(read.settings.zone_link_kb_per_s, (0.0, 90000.0))
-        self.assertEqual(read.names.report, ("util", "inflight", "x1"))
+        self.assertEqual(read.names.report, ("load_share", "concurrent", "x1"))
 
     def test_a_bad_value_is_named_in_one_line(self) -> None:
         bad: list[tuple[str, Any]] = [
