Do less for each request: plain records, smaller reads, no timers for requests that are over

A sampled stack was flat: 5.8% in the constructors of frozen records, 1% in replacing calls that have no body, 5% in choosing a connection with two lists for each order, 64 KB cleared for each read, and a wake-up at every request's deadline.

--- a/magpieshift/back/lines.py
+++ b/magpieshift/back/lines.py
@@ -40,7 +40,7 @@
     """Bytes that are no answer; the connection cannot go on."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Reply:
     """One answer."""
 
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -19,7 +19,7 @@
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 65_536
+READ_SIZE = 32_768  # an answer fits in most cases; the stream clears as much memory for each read
 SILENT_US = 600_000  # orders open and nothing heard for so long: the machine may be gone
 PROBE_TIMEOUT_US = 250_000
 IDLE_SHARE = 0.8  # of the idle time: a store that closes first could reset an order just written
@@ -169,14 +169,16 @@
 
     def carry(self, ticket: Ticket) -> bool:
         """Put it on the least loaded connection that is fit for it, or on a new one."""
-        now = self.back.clock.now_us()
-        fit = [
-            c
-            for c in self.connections
-            if not (c.retired or c.silent(now) or c.load >= self.back.streams) and c.link.takes(ticket.ident)
-        ]
-        best = min(fit, key=lambda c: c.load, default=None)
-        if (best is None or best.load >= self.back.streams_wanted) and self.back.may_open(self):
+        now, best, least = self.back.clock.now_us(), None, self.back.streams
+        for connection in self.connections:
+            load = connection.load
+            if load < least and not (connection.retired or connection.silent(now)):
+                if not connection.link.takes(ticket.ident):
+                    continue
+                best, least = connection, load
+                if load == 0:
+                    break
+        if (best is None or least >= self.back.streams_wanted) and self.back.may_open(self):
             best = Connection(self)
             self.connections.append(best)
         if best is None:
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -279,8 +279,11 @@
     def _may_go(self, store: int, source: int) -> bool:
         """Whether the list allows an order. Asked again when one that had to wait for its connection is about
         to be written: its store or source may drain by then, and the rule counts from when we were told."""
-        parties = (self._members.get(store), self._members.get(source))
-        return all(member is not None and member.entry.phase == Phase.READY for member in parties)
+        for number in (store, source):
+            member = self._members.get(number)
+            if member is None or member.entry.phase != Phase.READY:
+                return False
+        return True
 
     def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
         """Call off an attempt that is out."""
@@ -356,7 +359,8 @@
         self.held -= len(request.call.body)
         if request.out is not None:
             self._give_up(request.out, Outcome.CANCELLED)
-        request.call = replace(request.call, body=b"")
+        if request.call.body:
+            request.call = replace(request.call, body=b"")
         if answer is not None and reply is not None:
             try:
                 reply(answer)
--- a/magpieshift/core/model.py
+++ b/magpieshift/core/model.py
@@ -21,7 +21,7 @@
     return int(hexadecimal, 16) or 1 << 64
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Call:
     """A client's request."""
 
@@ -47,7 +47,7 @@
     FAILED = "failed"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answer:
     """The final answer, with the bytes of the copy or the word that the client's own is current."""
 
@@ -57,7 +57,7 @@
     retry_after_us: int = 0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Member:
     """A store as the list names it."""
 
@@ -66,7 +66,7 @@
     entry: api.Entry
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Order:
     """What one attempt asks of a store."""
 
@@ -80,7 +80,7 @@
     may_go: Callable[[], bool]  # asked right before it is written
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Result:
     """How an attempt ended, as far as the back can tell."""
 
--- a/magpieshift/front/frames.py
+++ b/magpieshift/front/frames.py
@@ -36,7 +36,7 @@
     """Bytes that are no frame; the connection cannot go on."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Frame:
     """One frame; the payload is still bytes."""
 
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -20,7 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 65_536
+READ_SIZE = 8_192  # many requests; the stream clears as much memory for each read
 HIGH_WATER = 1 << 20  # unsent bytes of one connection, above which no more of it is read
 WHOLE_S = 2.0  # for a client to send a whole frame, from its connecting or from the frame's first byte
 IDLE_S = 60.0  # with nothing open; clients close after 4 s
--- a/magpieshift/front/session.py
+++ b/magpieshift/front/session.py
@@ -24,7 +24,7 @@
 CODES = {Verdict.SERVED: Code.OK, Verdict.REFUSED: Code.REFUSED, Verdict.FAILED: Code.FAILED}
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Asked:
     """A request on a new stream."""
 
@@ -32,7 +32,7 @@
     call: Call
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Unusable:
     """A request whose fields cannot be used; it is owed a failure, or a refusal where there are too many."""
 
@@ -41,14 +41,14 @@
     verdict: Verdict = Verdict.FAILED
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Abandoned:
     """Nobody waits for this stream any more."""
 
     stream: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ReadyAsked:
     """The client asks whether the router is ready."""
 
--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -65,6 +65,8 @@
         for event in events:
             if (react := self.reactions.get(type(event))) is not None:
                 react(event)
+        while self.timers and self.timers[0][1] not in self.jobs:  # or each request would wake us once more
+            heapq.heappop(self.timers)
         if self.timers and (self.timer_us <= now_us or self.timers[0][0] < self.timer_us):
             self.timer_us = max(self.timers[0][0], now_us + 1)
             self.actions.append(api.SetTimer(self.timer_us - now_us, 0))
--- a/molecleat/interface.py
+++ b/molecleat/interface.py
@@ -86,7 +86,7 @@
     RENEW = 8
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class RequestClass:
     """The figures of one class of requests."""
 
@@ -106,7 +106,7 @@
     stale_worth: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Settings:
     """What an instance is told at its start."""
 
@@ -148,7 +148,7 @@
     report_columns: tuple[str, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Entry:
     """One store of a list."""
 
@@ -161,7 +161,7 @@
     up_since_us: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class StoreList:
     """The list of stores, whole or as changes."""
 
@@ -170,7 +170,7 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Request:
     """A client's request; exactly one final answer is now owed for it."""
 
@@ -186,7 +186,7 @@
     write: bool
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Begun:
     """A streamed answer has begun on this attempt."""
 
@@ -196,7 +196,7 @@
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ended:
     """How one attempt ended; ``closed`` once the request itself is over."""
 
@@ -211,21 +211,21 @@
     load: tuple[float, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Hangup:
     """The client left; nothing more is owed."""
 
     id: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Elapsed:
     """A timer of this instance came due."""
 
     token: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Probed:
     """What a probe found."""
 
@@ -235,7 +235,7 @@
     load: tuple[float, ...]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Message:
     """Bytes from a fellow instance."""
 
@@ -243,7 +243,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Purged:
     """An object, or with no key a whole group, was purged at the origin some time ago."""
 
@@ -255,7 +255,7 @@
 Event = StoreList | Request | Begun | Ended | Hangup | Elapsed | Probed | Message | Purged
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Send:
     """Ask a store for what it holds; carries no bound on the copy's age."""
 
@@ -264,7 +264,7 @@
     timeout_us: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Get:
     """An attempt that names the fill's source, the rank kept and the oldest copy that will do."""
 
@@ -277,7 +277,7 @@
     mode: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Refuse:
     """Final answer: turned away; trying again is harmless."""
 
@@ -285,14 +285,14 @@
     retry_after_us: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Fail:
     """Final answer: failed, with no promise about its effect."""
 
     id: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Cancel:
     """Stop waiting for one attempt."""
 
@@ -300,7 +300,7 @@
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SetTimer:
     """Ask for an ``Elapsed`` event."""
 
@@ -308,21 +308,21 @@
     token: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Probe:
     """Check on a store."""
 
     store: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Close:
     """Close the idle connections to a store."""
 
     store: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Tell:
     """Send bytes to a fellow instance, or with ``peer`` None to all."""
 
@@ -330,21 +330,21 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Log:
     """A line for the report."""
 
     text: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Subscribe:
     """Turn list changes on or off, where they must be asked for."""
 
     on: bool
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class FetchList:
     """Ask once for the whole list."""
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -314,3 +314,11 @@
     assert len(landed) == 3 and set(landed.values()) == {
         120
     }
+
+
+def test_a_request_that_is_over_keeps_no_timer() -> None:
+    """Each woke the router once more at its deadline, 900 times a second (rate day)."""
+    world = World()
+    (sent,) = world.ask()
+    world.end(sent, Outcome.OK, 0)
+    assert world.router.timers == []
