Ask again in time for answers that never come, once stores are seen to lose them

A log of attempts gave 242 time-outs at the full patience (2.29 s), on all caches alike and on the origin, from stores that had answered others since, with hits no slower than their sending; usual answers took 0.27 of the aim with a mean deviation of 0.03. No refusal came from the module's own judgement.

At fault: Router._send, which lets each attempt run to the request's end. Now it needs losses seen (a running share above 1 in 200, from stores that are well), a steady pace, a budget of 1 in 10, and happens once a request; what is taken for lost does not count as slow, nor against a store.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -11,7 +11,7 @@
 
 from molecleat import interface as api
 from molecleat.interface import NEVER_RAN, Effect, Mode, Note, Outcome, Phase, Scope
-from molecleat.records import MASK, Attempt, Job, Store, mix
+from molecleat.records import FEW, MASK, SMOOTH, Attempt, Job, Pace, Store, mix
 
 UNANSWERED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.MOOT)
 LEAST_CAP = 4  # the design's floor: fills in flight a source is always good for, from one of few routers
@@ -23,12 +23,13 @@
 COLD_CARE = 0.5  # of a cold store's budget at most: routers that have yet to hear of it use the rest
 COLD_SIGMAS = 3  # deviations of chance, when many routers send at random, that the budget must still cover
 ASK_AGAIN = 2  # times, half a fill apart, that a part already being filled is asked for before filling it too
-SMOOTH = 0.1  # weight of a new sample in running means: the last ten or so count
-STEADY, FEW, GROW = 0.03, 10, 1.001  # mean sending time: its smoothing, hits it needs, its least grows anew
+STEADY, GROW = 0.03, 1.001  # mean sending time: its smoothing, hits it needs, its least grows anew
 CAUTION = 2  # the slowing seen counts double: what is sent now meets that of what is already on its way
 SHUN_AT = 0.4  # share of recent failures above which a store is passed over
 SHUN_US = 1_000_000  # a failing store's pause, renewed while what is then tried fails
 SLUGGISH = 2.0  # by so many sending times slower than a median neighbour, a cache is left aside
+AGAIN, MOST_AGAIN = 0.1, 10.0  # answers taken for lost, for each good one, and saved up at most
+LOSSY, LOSS_SMOOTH, WELL = 0.005, 0.01, 0.2  # share lost from which late ones are, unless so much slower
 RATE_US = 8_000_000  # memory of the work each store answered, and of a slowness that no hit confirms
 
 
@@ -48,6 +49,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.purges: dict[tuple[int, int], int] = {}
         self.timers: list[tuple[int, int]] = []
+        self.lost = 0.0  # running share of answers that never came, of stores well and heard since
+        self.again = MOST_AGAIN  # how many answers may be taken for lost
         self.work_us = [c.aim_us / (1 + c.aim_stretch) for c in settings.classes]  # mean sending time
         self.best_us = [float(c.aim_us) for c in settings.classes]  # the least that work_us has lately been
         self.hits, self.fill_us = ([0.0] * len(settings.classes) for _ in range(2))  # mean of good fills
@@ -253,6 +256,12 @@
 
     def _send(self, job: Job, store: Store, source: Store | None) -> None:
         timeout, req = job.end_us - self.cfg.tick_us - self.now, job.req
+        pace = store.paces.setdefault((req.cls, source is not None), Pace())
+        aim = job.cls.aim_us + job.cls.aim_stretch * (job.work_us if req.size_kb else self.work_us[req.cls])
+        lost = aim * pace.lost_at()  # then it may be asked again in time, once, where that is lawful
+        within = {Effect.FREE: timeout, Effect.KEYED: job.cls.dedup_us / 2}.get(job.cls.effect, 0)
+        if self.lost > LOSSY and self.again >= 1 and not job.broken:
+            timeout = int(lost) if lost < min(within, timeout - self.work_us[req.cls]) else timeout
         if store.entry.kind == self.cfg.origin_kind:
             self.actions.append(api.Send(req.id, store.entry.store, timeout))
         else:
@@ -262,7 +271,8 @@
             age, mode = self._age(job), Mode.JOIN if self.cfg.joins_fills and keep else 0
             self.actions.append(api.Get(req.id, store.entry.store, timeout, by.entry.store, keep, age, mode))
         both = (store,) if source is None or source is store else (store, source)
-        self.attempts[req.id, job.legs] = Attempt(job, store, source, both, self.now, store.flying + 1)
+        beside = store.flying + 1
+        self.attempts[req.id, job.legs] = Attempt(job, store, source, both, self.now, pace, aim, beside)
         job.out = job.legs
         job.legs += 1
         for at in both:
@@ -304,6 +314,13 @@
     def _settle(self, attempt: Attempt, event: api.Ended) -> None:
         """Give the slots back, once, and learn: a source is worked as hard as it answers in time."""
         source, cls, ok = attempt.source, attempt.job.req.cls, event.outcome == Outcome.OK
+        if ok or event.outcome == Outcome.TIMEOUT:
+            self.again = min(MOST_AGAIN, self.again + AGAIN) if ok else self.again - 1
+            lost = not ok and attempt.store.slower < WELL and attempt.heard_since()
+            if not lost:  # what never came says nothing of how long answers take
+                attempt.pace.learn(event.latency_us / max(1.0, attempt.aim_us))
+            if ok or lost:
+                self.lost += LOSS_SMOOTH * (lost - self.lost)
         if source is not None and ok:
             work, cfg = attempt.job.req.size_kb * self.us_per_kb or self.work_us[cls], attempt.job.cls
             late = event.latency_us > cfg.aim_us + cfg.aim_stretch * work
@@ -356,6 +373,8 @@
             return heapq.heappush(self.timers, (job.again_us, job.req.id))
         if missed:
             job.missed = store
+        elif outcome == Outcome.TIMEOUT and not job.broken and attempt.heard_since():
+            job.broken = True  # it is asked once more; whoever answers others is well
         elif outcome == Outcome.RESET:
             self._broke(job, store)
         elif outcome == Outcome.ERROR and event.note == Note.NONE:
--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from molecleat import interface as api
 
 MASK = (1 << 64) - 1
+SMOOTH = 0.1  # weight of a new sample in running means: the last ten or so count
+FEW = 10  # samples that a mean needs before anything rests on it
+LOST_AT = 4  # mean deviations above the mean: an answer that late is taken for lost
+LOST_LEAST = 0.6  # of the aim: before that none is
+LOST_STEADY = 0.1  # mean deviation above which an answer may well be late without being lost
 
 
 def mix(value: int) -> int:
@@ -17,6 +23,25 @@
     return value ^ (value >> 31)
 
 
+@dataclass(slots=True)
+class Pace:
+    """How long answers take, as a share of their aim: the mean and its mean deviation, as in TCP's timer."""
+
+    count: int = 0
+    mean: float = 0.0
+    deviation: float = 0.0
+
+    def learn(self, share: float) -> None:
+        self.count += 1
+        weight = max(SMOOTH, 1 / self.count)
+        self.deviation += weight * (abs(share - self.mean) - self.deviation) if self.count > 1 else 0.0
+        self.mean += weight * (share - self.mean)
+
+    def lost_at(self) -> float:
+        steady = self.count >= FEW and self.deviation <= LOST_STEADY
+        return max(LOST_LEAST, self.mean + LOST_AT * self.deviation) if steady else math.inf
+
+
 @dataclass(slots=True)
 class Store:
     """A store as this router sees it: its listing, its health, and the fills it is the source of."""
@@ -31,6 +56,7 @@
     fills: int = 0  # in flight from this source
     peak: tuple[int, int] = (0, 0)  # the most fills in flight that lately worked, and when
     queue: dict[int, Job] = field(default_factory=dict)
+    paces: dict[tuple[int, bool], Pace] = field(default_factory=dict)  # by class, and whether it fills
     next_cold_us: int = 0  # when a cold store may be sent the next attempt
     work: float = 0.0  # decaying sum of the work answered
     work_at: int = 0
@@ -62,7 +88,7 @@
     ran: tuple[Store, int] | None = None  # the first attempt that may have run, and when it was sent
     failed: set[int] = field(default_factory=set)  # stores not to be asked again for this request
     accused: Store | None = None  # it answered with an error: the next store's answer says who is at fault
-    broken: bool = False  # a connection broke under it
+    broken: bool = False  # a connection broke under it, or its answer was taken for lost
     missed: Store | None = None  # the cache that said it lacks the copy
     held: Store | None = None
     hold_us: int = 0
@@ -79,4 +105,10 @@
     source: Store | None  # None: it only asks what the store holds
     both: tuple[Store, ...]  # whom it depends on, each once
     sent_us: int
+    pace: Pace
+    aim_us: float
     beside: int  # in flight at the store, this one included
+
+    def heard_since(self) -> bool:
+        """Whether all it depends on have answered others since: then it is not they that are silent."""
+        return all(at.heard_us > self.sent_us for at in self.both)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -337,3 +337,32 @@
         stores.add(sent.store)
         world.end(sent, Outcome.OK, 0)
     assert stores == set(CACHES)
+
+
+def test_once_answers_get_lost_a_late_one_is_asked_for_again_in_time_and_only_so_many() -> None:
+    """They never came, from stores that answered all others, and their clients waited in vain (re32f6e)."""
+    world = World(listed=api.StoreList(api.ListKind.CACHED, 1, (entry(11, CACHE), entry(31, ORIGIN))))
+
+    def ask(key: int) -> api.Get:
+        (sent,) = world.ask(key, size_kb=100.0)
+        assert isinstance(sent, api.Get)
+        return sent
+
+    def hit(sent: api.Get) -> None:
+        world.end(sent, Outcome.OK, 0, after=100_000, note=api.Note.HIT)
+
+    for key in range(20):
+        hit(ask(key))
+    first = ask(1)
+    assert first.timeout_us > 3 * SECOND  # nothing was ever lost: a slow answer is waited for
+    hit(ask(2))
+    world.end(first, Outcome.TIMEOUT, 0, after=first.timeout_us)
+    world.tell(api.Hangup(first.id))
+    second = ask(3)
+    assert second.timeout_us < 400_000  # of an aim of 0.4 s
+    hit(ask(4))
+    (again,) = world.end(second, Outcome.TIMEOUT, 0, after=second.timeout_us)
+    assert isinstance(again, api.Get) and again.store == 11 and again.timeout_us > 3 * SECOND
+    assert world.router.stores[11].bad == 0
+    world.router.again = 0.5  # what may be taken for lost is used up
+    assert ask(5).timeout_us > 3 * SECOND
