--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -32,10 +32,9 @@
     deviation: float = 0.0
 
     def learn(self, share: float) -> None:
-        self.count += 1
-        weight = max(SMOOTH, 1 / self.count)
-        self.deviation += weight * (abs(share - self.mean) - self.deviation) if self.count > 1 else 0.0
-        self.mean += weight * (share - self.mean)
+        weight = max(SMOOTH, 1 / (self.count + 1))
+        self.deviation += weight * (abs(share - self.mean) - self.deviation) if self.count else 0.0
+        self.mean, self.count = self.mean + weight * (share - self.mean), self.count + 1
 
     def lost_at(self) -> float:
         steady = self.count >= FEW and self.deviation <= LOST_STEADY
