Expect no cache to be slower than it was measured, however much is in flight

At fault: Store.slower_beside, which also drew the slowness up with what is in flight, from samples taken with one or two there, where no link is full.

--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -70,8 +70,8 @@
         return max(0.0, self.took_us / self.ought_us - 1) if self.ought_us else 0.0
 
     def slower_beside(self, flying: int) -> float:
-        """The same with so many in flight: what a full link delays, it delays in proportion to them."""
-        return self.slower * flying * self.ought_us / self.crowd if self.crowd else 0.0
+        """The same with fewer in flight: a full link delays in proportion. Never more than was measured."""
+        return self.slower * min(1.0, flying * self.ought_us / self.crowd) if self.crowd else 0.0
 
 
 @dataclass(slots=True)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -366,3 +366,11 @@
     assert world.router.stores[11].bad == 0
     world.router.again = 0.5  # what may be taken for lost is used up
     assert ask(5).timeout_us > 3 * SECOND
+
+
+def test_more_in_flight_than_was_measured_does_not_make_a_cache_slower_than_it_was() -> None:
+    """With little in flight a slight slowness grew tenfold in a burst, and calm days lost a hundredth."""
+    world = World()
+    cache = world.router.stores[CACHES[0]]
+    cache.took_us, cache.ought_us, cache.crowd = 110_000.0, 100_000.0, 100_000.0
+    assert cache.slower_beside(20) == cache.slower
