--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -10,9 +10,8 @@
 MASK = (1 << 64) - 1
 SMOOTH = 0.1  # weight of a new sample in running means: the last ten or so count
 FEW = 10  # samples that a mean needs before anything rests on it
-LOST_AT = 4  # mean deviations above the mean: an answer that late is taken for lost
-LOST_LEAST = 0.6  # of the aim: before that none is
-LOST_STEADY = 0.1  # mean deviation above which an answer may well be late without being lost
+FULL_AT = 0.8  # so much slower than its sending, a link is full, and more in flight takes longer still
+LOST_AT, LOST_LEAST, LOST_STEADY = 4, 0.6, 0.1  # mean deviations; least of the aim; largest deviation
 
 
 def mix(value: int) -> int:
@@ -70,8 +69,9 @@
         return max(0.0, self.took_us / self.ought_us - 1) if self.ought_us else 0.0
 
     def slower_beside(self, flying: int) -> float:
-        """The same with fewer in flight: a full link delays in proportion. Never more than was measured."""
-        return self.slower * min(1.0, flying * self.ought_us / self.crowd) if self.crowd else 0.0
+        """The same with so many in flight, to which a full link is in proportion; one with room, at most."""
+        drawn = flying * self.ought_us / self.crowd if self.crowd else 0.0
+        return self.slower * (drawn if self.slower > FULL_AT else min(1.0, drawn))
 
 
 @dataclass(slots=True)
