--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -9,14 +9,14 @@
 import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
 from functools import partial
 from typing import NamedTuple
 
 from magpieshift.back.lines import MOST_BODY
 from magpieshift.back.pool import Pool
 from magpieshift.clock import LoopClock
-from magpieshift.config import Config, ConfigError, Limits, load
+from magpieshift.config import Config, ConfigError, Document, Limits, load, settings_by_name
+from magpieshift.control.transaction import NotPrepared, Part, Prepared, TurnedDown, prepare
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Member
 from magpieshift.feed.changes import ChangeLog
@@ -52,27 +52,104 @@
         return cls(clients, stores, part)
 
 
+class _AtStart:
+    """What cannot change while the router runs: a document that changes it is turned down."""
+
+    part = "start"
+
+    def __init__(self, document: Document) -> None:
+        self._name, self._listen = document.name, document.listen
+
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        for what, now, wanted in (("name", self._name, new.name), ("listen", self._listen, new.listen)):
+            if now != wanted:
+                raise TurnedDown(
+                    f"{what} is {now} and cannot become {wanted} without a restart", at_start=True
+                )
+        return lambda: None
+
+    def running(self) -> dict[str, object]:
+        return {"name": self._name, "listen": list(self._listen)}
+
+
+class _Limits:
+    """The part that shares the machine's limits out among the others."""
+
+    part = "limits"
+
+    def __init__(self, engine: Engine, front: FrontServer, pool: Pool) -> None:
+        self._engine, self._front, self._pool = engine, front, pool
+
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        bounds = Bounds.of(new.limits)
+
+        def commit() -> None:
+            self._pool.most_connections = bounds.stores
+            self._front.most_connections = bounds.clients
+            self._engine.most_held = self._front.most_held = bounds.bytes_each
+
+        return commit
+
+    def running(self) -> dict[str, object]:
+        held = self._engine.most_held if self._engine.most_held == self._front.most_held else -1
+        return {
+            "clients": self._front.most_connections,
+            "stores": self._pool.most_connections,
+            "bytes_each": held,
+        }
+
+
+def expected(document: Document) -> dict[str, dict[str, object]]:
+    """What the parts of a router that runs on this document say of themselves (``EdgeRouter.running``)."""
+    bounds, settings, names = Bounds.of(document.limits), document.settings, document.names
+    classes = dict(zip(names.classes, settings.classes, strict=True))
+    return {
+        "start": {"name": document.name, "listen": list(document.listen)},
+        "engine": settings_by_name(settings, names, classes),
+        "front": {"classes": sorted(names.classes)},
+        "back": {
+            "report": list(settings.report_columns),
+            "connect_timeout_us": settings.connect_timeout_us,
+            "streams": document.streams_per_connection,
+            "idle_us": document.idle_us,
+        },
+        "feed": {
+            "address": list(document.changelog), "zones": sorted(names.zones), "kinds": sorted(names.kinds),
+        },
+        "limits": {"clients": bounds.clients, "stores": bounds.stores, "bytes_each": bounds.bytes_each},
+    }  # fmt: skip
+
+
 class EdgeRouter:
     """Owner of all the parts of one router."""
 
     def __init__(self, config: Config) -> None:
-        self._config = config
+        self._known, document = config.known, config.document
+        self.document, self.version = document, config.version
         clock = LoopClock()
-        bounds = Bounds.of(config.limits)
+        bounds = Bounds.of(document.limits)
         self._pool = Pool(
             clock,
-            config.names.report,
-            config.settings.connect_timeout_us,
-            config.idle_us,
-            config.streams_per_connection,
+            document.names.report,
+            document.settings.connect_timeout_us,
+            document.idle_us,
+            document.streams_per_connection,
             most_connections=bounds.stores,
         )
-        self._engine = Engine(config.settings, config.seed, clock, self._pool, bounds.bytes_each)
-        classes = {name: number for number, name in enumerate(config.names.classes)}
-        self._front = FrontServer(self._engine, clock, classes, bounds.clients, bounds.bytes_each)
-        self._changes = ChangeLog(config.names, self)
-        self._feed = FeedClient(config.changelog, self._changes)
+        self._engine = Engine(
+            document.settings, config.seed, clock, self._pool, bounds.bytes_each, document.names
+        )
+        self._front = FrontServer(
+            self._engine, clock, self._engine.classes, bounds.clients, bounds.bytes_each
+        )
+        self._changes = ChangeLog(document.names, self)
+        self._feed = FeedClient(document.changelog, self._changes)
         self._stopping = asyncio.Event()
+        limits = _Limits(self._engine, self._front, self._pool)
+        # the engine last but one: it enters the module, which may send at once
+        self.parts: list[Part] = [
+            _AtStart(document), self._feed, self._pool, limits, self._front, self._engine,
+        ]  # fmt: skip
 
     def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None:
         self._engine.list_changed(kind, version, members)
@@ -83,32 +160,32 @@
 
     def start(self) -> None:
         """Apply what is known, listen, follow the change log, and only then be ready."""
-        self._changes.known(self._config.known)
+        self._changes.known(self._known)
+        self._known = {}
         self._engine.flush()
-        self._front.add_socket(listen_socket(*self._config.listen))
+        self._front.add_socket(listen_socket(*self.document.listen))
         self._feed.start()
         self._front.ready = True
-        log.info("ready", extra=fields(name=self._config.name, seq=self._changes.last))
+        pairs = {"version": self.version} if self.version else {}
+        log.info("ready", extra=fields(name=self.document.name, seq=self._changes.last, **pairs))
 
     def stop(self) -> None:
         """Begin a planned end; ``run`` returns when all that was taken is answered."""
         self._stopping.set()
 
-    def reload(self, config: Config) -> None:
-        """Go over to a new configuration without letting go of anything open: the change log may have moved,
-        and the limits may differ. What cannot change while running is told in one line and stays as it is."""
-        old = self._config
-        bounds = Bounds.of(config.limits)
-        self._feed.follow(config.changelog)
-        self._pool.most_connections = bounds.stores
-        self._front.most_connections = bounds.clients
-        self._engine.most_held = self._front.most_held = bounds.bytes_each
-        self._config = replace(old, changelog=config.changelog, limits=config.limits)
-        same = replace(config, changelog=old.changelog, limits=old.limits, known=old.known, seed=old.seed)
-        if same != old:
-            log.warning("configuration has changes that need a restart")
-        host, port = config.changelog
-        log.info("configuration reloaded", extra=fields(changelog=f"{host}:{port}"))
+    def running(self) -> dict[str, dict[str, object]]:
+        """The figures that each part runs on, read from the part itself."""
+        return {part.part: dict(part.running()) for part in self.parts}
+
+    async def prepare(self, document: Document) -> Prepared:
+        """Let all parts make ready for a document; ``NotPrepared`` where one turns it down. What comes back
+        is for ``commit``, before any other document is prepared."""
+        return await prepare(self.parts, self.document, document)
+
+    def commit(self, prepared: Prepared, version: int) -> None:
+        """Put a document in force, in one turn of the event loop, letting go of nothing that is open."""
+        prepared.commit()
+        self.document, self.version = prepared.document, version
 
     async def run(self) -> None:
         """Serve until ``stop``, then drain."""
@@ -121,7 +198,7 @@
         await asyncio.sleep(LAST_CALL_S)
         self._front.announce_end()
         await asyncio.sleep(DRAIN_S - LAST_CALL_S)
-        waits_s = max(cls.deadline_us for cls in self._config.settings.classes) / 1e6
+        waits_s = max(cls.deadline_us for cls in self.document.settings.classes) / 1e6
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(waits_s, LONGEST_WAIT_S) + LAST_S - DRAIN_S):
                 while self._engine.open_requests or self._front.owing:
@@ -144,19 +221,37 @@
 async def _serve(config: Config, read: Callable[[], Config]) -> None:
     router = EdgeRouter(config)
     loop = asyncio.get_running_loop()
+    reloads: asyncio.Queue[Document] = asyncio.Queue()
 
     def reload() -> None:
         # SIGHUP is no end: unhandled, it killed the router with all that was open
         try:
-            router.reload(read())
+            document = read().document
         except ConfigError as err:
             log.error("configuration not reloaded", extra=fields(reason=err))
+            return
+        reloads.put_nowait(document)
+
+    async def apply() -> None:
+        while True:
+            document = await reloads.get()
+            try:
+                router.commit(await router.prepare(document), router.version)
+            except NotPrepared as err:
+                log.error("configuration not reloaded", extra=fields(reason=err))
+            else:
+                host, port = document.changelog
+                log.info("configuration reloaded", extra=fields(changelog=f"{host}:{port}"))
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    applying = asyncio.ensure_future(apply())
     gc.freeze()
-    await router.run()
+    try:
+        await router.run()
+    finally:
+        applying.cancel()
 
 
 def main(environ: Mapping[str, str] | None = None) -> int:
@@ -171,6 +266,7 @@
     try:
         asyncio.run(_serve(config, read))
     except OSError as err:
-        print(f"magpieshift: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
+        host, port = config.document.listen
+        print(f"magpieshift: cannot listen on {host}:{port}: {err}", file=sys.stderr)
         return 1
     return 0
--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -52,7 +52,7 @@
     """The protocol of one connection to a store."""
 
     def __init__(self, report: Sequence[str]) -> None:
-        self._report = report
+        self.report = report  # the names of a load report's figures, in the settings' order
         self._parser = lines.ReplyParser()
         self._open: dict[str, _Asked] = {}
         self._quit: set[str] = set()  # given up, and an answer to them may still be on its way
@@ -120,7 +120,7 @@
     def _load(self, text: str) -> tuple[float, ...]:
         """A load report in the order of the settings; none if it is not whole."""
         values = dict(item.partition(":")[::2] for item in text.split(";") if ":" in item)
-        found = [values.get(name) or values.get(lines.REPORT_WORDS.get(name, "")) for name in self._report]
+        found = [values.get(name) or values.get(lines.REPORT_WORDS.get(name, "")) for name in self.report]
         return () if None in found else tuple(_number(value or "") for value in found)
 
 
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -6,13 +6,14 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from magpieshift.back.lines import LineError
 from magpieshift.back.link import Done, Link
 from magpieshift.clock import LoopClock
+from magpieshift.config import Document
 from magpieshift.core.model import Member, Order, Result
 from magpieshift.log import fields
 from molecleat.interface import Outcome, Phase
@@ -214,6 +215,8 @@
 class Pool:
     """The connections to all stores; the back that the core is given."""
 
+    part = "back"
+
     def __init__(
         self,
         clock: LoopClock,
@@ -226,10 +229,37 @@
     ) -> None:
         self.clock, self.report, self.connect_timeout_us = clock, report, connect_timeout_us
         self.streams, self.streams_wanted = streams, min(streams, streams_wanted)
-        self._idle_us, self.most_connections = int(idle_us * IDLE_SHARE), most_connections
+        self._most_wanted = streams_wanted
+        self.idle_us, self.most_connections = idle_us, most_connections
         self._stores: dict[int, StorePool] = {}
         self._leaving: list[StorePool] = []  # gone, or replaced by a new process or address
 
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        """Make ready for a new document. Connections that are up stay; what is open on them is not
+        touched."""
+
+        def commit() -> None:
+            self.report, self.connect_timeout_us = (
+                new.settings.report_columns,
+                new.settings.connect_timeout_us,
+            )
+            self.streams = new.streams_per_connection
+            self.streams_wanted, self.idle_us = min(self.streams, self._most_wanted), new.idle_us
+            for pool in [*self._stores.values(), *self._leaving]:
+                for connection in pool.connections:
+                    connection.link.report = self.report
+
+        return commit
+
+    def running(self) -> dict[str, object]:
+        """The figures that connections to stores are kept by."""
+        return {
+            "report": list(self.report),
+            "connect_timeout_us": self.connect_timeout_us,
+            "streams": self.streams,
+            "idle_us": self.idle_us,
+        }
+
     def start(self, order: Order, done: Done) -> Ticket:
         ticket = Ticket(order, order.call.ident, done)
         if not self._store(order.target).carry(ticket):
@@ -294,7 +324,7 @@
     def tidy(self) -> None:
         """Close what has been idle; called now and then."""
         for pool in list(self._stores.values()):
-            pool.close_idle(self._idle_us)
+            pool.close_idle(int(self.idle_us * IDLE_SHARE))
         self._leaving = [pool for pool in self._leaving if pool.connections]
 
     def close_all(self) -> None:
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import os
 from collections.abc import Iterator, Mapping
@@ -17,6 +18,8 @@
 from molecleat.wire import SettingsError, parse_settings
 
 Address = tuple[str, int]
+LEAST_SOCKETS = 192  # fewer leave no room for stores beside the clients' third and what is kept aside
+
 
 class ConfigError(Exception):
     """A value is missing or cannot be used; the text is one plain line."""
@@ -40,22 +43,57 @@
     report: tuple[str, ...]
 
 
+NO_NAMES = Names((), (), (), ())
+
+
 @dataclass(frozen=True)
-class Config:
-    """All that the program is told at its start."""
+class Document:
+    """The settings of an installation, whichever reader they came through: the platform's JSON below, or an
+    S-expression (``magpieshift.control.schema``). It is what a version of the configuration holds."""
 
     name: str
     listen: Address
-    seed: int
     limits: Limits
     changelog: Address
-    known: Mapping[str, Any]
     settings: api.Settings
     names: Names
     idle_us: int
     streams_per_connection: int
 
 
+@dataclass(frozen=True)
+class Config:
+    """All that the program is told at its start: a document, and what is no setting but true of this
+    start."""
+
+    document: Document
+    seed: int
+    known: Mapping[str, Any]
+    version: int = 0  # of the document; 0 for one without a number, as the platform's
+
+
+def settings_by_name(
+    settings: api.Settings, names: Names, classes: Mapping[str, api.RequestClass]
+) -> dict[str, object]:
+    """Settings in JSON's types with zones, kinds and classes by name: the same for equal settings, however
+    the parts of a router number them."""
+    plain: dict[str, Any] = {
+        field.name: getattr(settings, field.name)
+        for field in dataclasses.fields(settings)
+        if field.name != "classes"
+    }
+    plain["zone"] = names.zones[settings.zone]
+    for field in ("zone_hub", "zone_routers", "zone_link_kb_per_s"):
+        plain[field] = dict(zip(names.zones, plain[field], strict=False))
+    plain["zone_hub"] = {zone: names.zones[hub] for zone, hub in plain["zone_hub"].items()}
+    plain["parent_kind"], plain["origin_kind"] = (
+        names.kinds[k] for k in (settings.parent_kind, settings.origin_kind)
+    )
+    plain["report_columns"] = list(settings.report_columns)
+    plain["classes"] = {name: dataclasses.asdict(classes[name]) for name in sorted(classes)}
+    return plain
+
+
 def flatten(value: object, path: str = "") -> Iterator[str]:
     """Nested settings as the lines that molecleat reads."""
     if isinstance(value, Mapping):
@@ -115,15 +153,13 @@
     except ValueError:
         raise ConfigError(f"configuration has a bad seed: {seed!r}") from None
     limits = Limits(_get(data, "limits.memory_mb", (int, float)), _get(data, "limits.sockets", int))
-    if limits.sockets < 192:
+    if limits.sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets is too small to serve with: {limits.sockets}")
-    return Config(
+    document = Document(
         name=name or str(data.get("name", "")),
         listen=address(listen or data.get("listen"), "listen"),
-        seed=seed_number,
         limits=limits,
         changelog=address(_get(data, "changelog", str), "changelog"),
-        known=_get(data, "known", Mapping),
         settings=settings,
         names=Names(
             classes=tuple(str(_get(c, "Name", str)) for c in _get(nested, "Classes", list)),
@@ -134,6 +170,7 @@
         idle_us=int(_get(nested, "Caps.ConnIdleUs", (int, float))),
         streams_per_connection=max(1, int(_get(nested, "Caps.MaxStreams", (int, float)))),
     )
+    return Config(document, seed_number, _get(data, "known", Mapping))
 
 
 def load(environ: Mapping[str, str] | None = None) -> Config:
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -13,7 +13,11 @@
 from typing import Protocol
 
 from magpieshift.clock import Clock, Handle
+from magpieshift.config import NO_NAMES, Document, Names, settings_by_name
+from magpieshift.control.transaction import TurnedDown
+from magpieshift.core.classes import first, plan
 from magpieshift.core.model import Answer, Call, Member, Order, Result, Verdict, object_number
+from magpieshift.core.retune import retune
 from magpieshift.log import fields
 from molecleat import interface as api
 from molecleat.control import Router
@@ -45,10 +49,11 @@
 class _Open:
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
-    __slots__ = ("call", "deadline_us", "legs", "may_have_run", "op", "out", "owns_ident", "reply")
+    __slots__ = ("call", "cls", "deadline_us", "legs", "may_have_run", "op", "out", "owns_ident", "reply")
 
-    def __init__(self, op: int, call: Call, reply: Reply, deadline_us: int) -> None:
+    def __init__(self, op: int, call: Call, cls: api.RequestClass, reply: Reply, deadline_us: int) -> None:
         self.op, self.call, self.deadline_us = op, call, deadline_us
+        self.cls = cls  # the figures it was taken under, whatever comes into force while it is open
         self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
         self.out: _Attempt | None = None
         self.legs = 0
@@ -69,10 +74,23 @@
 class Engine:
     """One router's requests, attempts and timers around one decision module."""
 
+    part = "engine"
+
     def __init__(
-        self, settings: api.Settings, seed: int, clock: Clock, back: Back, most_held: int = 32 << 20
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Clock,
+        back: Back,
+        most_held: int = 32 << 20,
+        names: Names = NO_NAMES,
     ) -> None:
         self._settings, self._clock, self._back, self.most_held = settings, clock, back, most_held
+        self._names = names
+        self._plan = first(names.classes or [str(i) for i in range(len(settings.classes))], settings.classes)
+        self.classes = dict(
+            self._plan.numbers
+        )  # by name; the front reads them here, so it is changed in place
         self._router = Router(settings, seed)
         self._members: dict[int, Member] = {}
         self._requests: dict[int, _Open] = {}
@@ -91,8 +109,9 @@
         taken = call.ident in self._idents
         self._last_op += 1
         # nobody waits longer than the class allows; an entry kept for an hour, with its timer, is a leak
-        patience_us = min(call.patience_us, self._settings.classes[call.cls].deadline_us)
-        request = _Open(self._last_op, call, reply, self._clock.now_us() + patience_us)
+        cls = self._settings.classes[call.cls]
+        patience_us = min(call.patience_us, cls.deadline_us)
+        request = _Open(self._last_op, call, cls, reply, self._clock.now_us() + patience_us)
         self._requests[request.op] = request
         self.open_requests += 1
         self.held += len(call.body)
@@ -108,11 +127,10 @@
             no = Answer(Verdict.REFUSED, retry_after_us=self._settings.max_retry_after_us)
             self._clock.soon(lambda: self._answer(request.op, no))
             return request.op
-        write = self._settings.classes[call.cls].write
         self._post(
             api.Request(
                 request.op, call.cls, 0, object_number(call.key), patience_us, call.size_kb,
-                call.group, call.part, call.repeat, write,
+                call.group, call.part, call.repeat, cls.write,
             )
         )  # fmt: skip
         return request.op
@@ -130,6 +148,58 @@
             if request.reply is not None:
                 self._close(request, self._sorry(request))
 
+    # --- a new configuration
+
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        """Make ready for a new document: numbers for its classes, and for the zones and kinds of all
+        stores."""
+        moved = (old.names.zones, old.names.kinds) != (new.names.zones, new.names.kinds)
+        for what, before, after, used in (
+            ("zone", old.names.zones, new.names.zones, {m.entry.zone for m in self._members.values()}),
+            ("kind", old.names.kinds, new.names.kinds, {m.entry.kind for m in self._members.values()}),
+        ):
+            for index in sorted(used):
+                if before[index] not in after:
+                    raise TurnedDown(
+                        f"{what} {before[index]} is not in the document, and stores are listed in it"
+                    )
+        busy = {request.call.cls for request in self._requests.values()}
+        classes = plan(self._plan, new.names.classes, new.settings.classes, busy)
+        settings = replace(new.settings, classes=classes.figures)
+        # stores take on or lose their part by these; the module learns that from a whole list
+        roles = ("zone", "parent_kind", "origin_kind")
+        relist = moved or any(getattr(old.settings, r) != getattr(new.settings, r) for r in roles)
+        zones = [new.names.zones.index(z) if z in new.names.zones else -1 for z in old.names.zones]
+        kinds = [new.names.kinds.index(k) if k in new.names.kinds else -1 for k in old.names.kinds]
+
+        def commit() -> None:
+            self.flush()  # what has happened until now happened under the old settings
+            retune(
+                self._router, settings, classes.fresh, lambda z: max(0, zones[z]), lambda k: max(0, kinds[k])
+            )
+            self._settings, self._plan, self._names = settings, classes, new.names
+            self.classes.clear()
+            self.classes.update(classes.numbers)
+            if relist:
+                # a store listed since the check in a zone that now goes leaves with it
+                kept = [
+                    replace(m, entry=replace(m.entry, zone=zones[m.entry.zone], kind=kinds[m.entry.kind]))
+                    for m in self._members.values()
+                    if zones[m.entry.zone] >= 0 and kinds[m.entry.kind] >= 0
+                ]
+                self.list_changed(api.ListKind.FULL, 0, kept)
+                self.flush()
+
+        return commit
+
+    def running(self) -> dict[str, object]:
+        """The figures that the module decides by and that the engine holds requests to."""
+        cfg = self._router.cfg
+        if cfg is not self._settings:
+            return {"module": "runs on other settings than the engine"}
+        live = {name: cfg.classes[number] for name, number in self.classes.items()}
+        return settings_by_name(cfg, self._names, live)
+
     # --- what the feed says
 
     def list_changed(self, kind: api.ListKind, version: int, members: Iterable[Member]) -> None:
@@ -317,7 +387,7 @@
     # --- final answers
 
     def _refusal_is_lawful(self, request: _Open) -> bool:
-        cls = self._settings.classes[request.call.cls]
+        cls = request.cls
         dropped_by_all = cls.effect == Effect.KEYED and cls.scope == Scope.ALL
         never_ran = not request.may_have_run and request.out is None
         return cls.effect == Effect.FREE or dropped_by_all or never_ran
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -33,7 +33,7 @@
     """Follows the log: each event once, none skipped while it can still be had."""
 
     def __init__(self, names: Names, listener: Listener) -> None:
-        self._names, self._listener = names, listener
+        self.names, self._listener = names, listener
         self.last = 0
         self._asked_again_for = 0
 
@@ -89,7 +89,7 @@
         self._listener.list_changed(kind, int(fleet.get("revision", 0)), members)
 
     def _member(self, raw: Mapping[str, Any]) -> Member:
-        ident, names, phase = str(raw["id"]), self._names, PHASES[raw["phase"]]
+        ident, names, phase = str(raw["id"]), self.names, PHASES[raw["phase"]]
         if not ident or any(mark in ident for mark in " ,=\r\n"):
             raise ValueError(f"id {ident!r}")
         weight = float(raw.get("size", 1.0))
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -6,11 +6,13 @@
 import logging
 import random
 import socket
+from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from magpieshift.config import Document
 from magpieshift.feed.changes import ChangeLog, Gap
 from magpieshift.feed.sse import SseError, SseParser
 from magpieshift.log import fields
@@ -51,11 +53,27 @@
 class FeedClient:
     """Owner of the one connection to the change log."""
 
+    part = "feed"
+
     def __init__(self, address: tuple[str, int], changes: ChangeLog) -> None:
         self._address, self.changes = address, changes
         self._task: asyncio.Task[None] | None = None
         self._heard = 0.0
 
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        """Make ready for a new document: another address, other words for zones and kinds."""
+
+        def commit() -> None:
+            self.changes.names = new.names
+            self.follow(new.changelog)
+
+        return commit
+
+    def running(self) -> dict[str, object]:
+        """Where the log is read, and the words that it is read with."""
+        names = self.changes.names
+        return {"address": list(self._address), "zones": sorted(names.zones), "kinds": sorted(names.kinds)}
+
     def start(self) -> None:
         self._task = asyncio.ensure_future(self._run())
 
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -6,12 +6,13 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
 from magpieshift.clock import LoopClock
+from magpieshift.config import Document
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Answer
 from magpieshift.front.frames import FrameError
@@ -198,7 +199,11 @@
 
 
 class FrontServer(TCPServer):
-    """Listens for clients; owner of all their connections."""
+    """Listens for clients; owner of all their connections.
+
+    ``classes`` numbers the classes by name; it is whoever made the server that keeps it true, in place."""
+
+    part = "front"
 
     def __init__(
         self,
@@ -215,6 +220,14 @@
         self.most_held, self.most_connections = most_held, most_connections
         self._connections: set[Connection] = set()
 
+    def prepare(self, old: Document, new: Document) -> Callable[[], None]:
+        """Nothing of its own to make ready: classes are the engine's, bounds the limits'."""
+        return lambda: None
+
+    def running(self) -> dict[str, object]:
+        """The classes that requests may name."""
+        return {"classes": sorted(self.classes)}
+
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         stream.set_nodelay(True)
         if len(self._connections) >= self.most_connections and not self._close_idle_one():
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -67,7 +67,7 @@
     def setUp(self) -> None:
         ports = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": "127.0.0.1:3"}
         self.clock, self.back, self.answers = FakeClock(), FakeBack(), list[Answer]()
-        self.engine = Engine(parse(config(ports)).settings, 7, self.clock, self.back, most_held=100)
+        self.engine = Engine(parse(config(ports)).document.settings, 7, self.clock, self.back, most_held=100)
         self.members = [self.member("s-cache", 0, 1, 1), self.member("s-origin", 2, 0, 2)]
         self.engine.list_changed(api.ListKind.CACHED, 1, self.members)
         self.clock.run()
--- a/tests/real/test_parts.py
+++ b/tests/real/test_parts.py
@@ -75,7 +75,7 @@
         bad = [{"size": float("nan")}, {"id": "a b"}, {"locality": "moon"}, {"host_port": "x"}, {"phase": 1}]
         fleet["fleet"]["members"] = [good[0] | change for change in bad] + good
         with self.assertLogs("magpieshift.feed.changes", "WARNING") as logs:
-            ChangeLog(read.names, listener).known(read.known)
+            ChangeLog(read.document.names, listener).known(read.known)
         self.assertEqual(len([r for r in logs.records if r.levelno == logging.WARNING]), len(bad))
         (kind, version, members), _ = listener.list_changed.call_args
         self.assertEqual([kind, version, *(m.ident for m in members)], [2, 1, "s-cache", "s-origin"])
@@ -85,9 +85,10 @@
 class Configuration(unittest.TestCase):
     def test_it_is_read(self) -> None:
         read = parse(config(PORTS), listen="127.0.0.1:80", name="n9")
-        self.assertEqual((read.name, read.listen, read.seed), ("n9", ("127.0.0.1", 80), 0xA7))
-        self.assertEqual(read.settings.zone_link_kb_per_s, (0.0, 90000.0))
-        self.assertEqual(read.names.report, ("load_share", "concurrent", "x1"))
+        document = read.document
+        self.assertEqual((document.name, document.listen, read.seed), ("n9", ("127.0.0.1", 80), 0xA7))
+        self.assertEqual(document.settings.zone_link_kb_per_s, (0.0, 90000.0))
+        self.assertEqual(document.names.report, ("load_share", "concurrent", "x1"))
 
     def test_a_bad_value_is_named_in_one_line(self) -> None:
         bad: list[tuple[str, Any]] = [
