Follow a control service over gRPC, keep versions on disk, and a command line for it all

Operators want configuration streamed in numbered versions, each acknowledged or turned down with a reason, the last good one kept across a restart.

The keeper joins ledger, store and transaction to a running router; a version is read, prepared by all parts, written through, put in force, and only then acknowledged. One gRPC stream carries full and delta versions and the answers. magpieshift run|config|control|lab on click, log lines by structlog. lab versions sends a real router 1,000 versions with kills and breaks and compares what each part runs on with what was acknowledged.

SIGKILL at each of seven steps leaves the acknowledged version or the next, whole.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run proto clean
 
 build: $(BIN)/pytest
 
@@ -24,3 +24,9 @@
 
 clean:
 	rm -rf .venv .venv-ci build .mypy_cache .ruff_cache .pytest_cache .hypothesis
+
+# After a change of the control channel's messages.
+proto: build
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[proto]'
+	$(BIN)/python -m grpc_tools.protoc -Imagpieshift/control/wire --python_out=magpieshift/control/wire \
+		--pyi_out=magpieshift/control/wire magpieshift/control/wire/control.proto
--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -187,9 +187,19 @@
         prepared.commit()
         self.document, self.version = prepared.document, version
 
-    async def run(self) -> None:
-        """Serve until ``stop``, then drain."""
+    @property
+    def ending(self) -> bool:
+        """Whether the planned end has begun."""
+        return self._stopping.is_set()
+
+    async def stopping(self) -> None:
+        """Wait for the planned end to begin."""
+        await self._stopping.wait()
+
+    async def run(self, started: Callable[[], None] = lambda: None) -> None:
+        """Serve until ``stop``, then drain; ``started`` is called once it serves."""
         self.start()
+        started()
         tidying = asyncio.ensure_future(self._tidy())
         await self._stopping.wait()
         log.info("draining", extra=fields(open=self._engine.open_requests))
@@ -218,19 +228,29 @@
             self._front.tidy()
 
 
-async def _serve(config: Config, read: Callable[[], Config]) -> None:
-    router = EdgeRouter(config)
+async def serve(
+    router: EdgeRouter, reload: Callable[[], None], started: Callable[[], None] = lambda: None
+) -> None:
+    """Run a router as the process's own: SIGTERM and SIGINT begin its end, SIGHUP calls ``reload``;
+    ``started`` is called once it serves."""
     loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, router.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)  # unhandled, it killed the router with all that was open
+    gc.freeze()
+    await router.run(started)
+
+
+async def _run(config: Config, read: Callable[[], Config]) -> None:
+    """The platform's router: its configuration is a file, and has no versions."""
+    router = EdgeRouter(config)
     reloads: asyncio.Queue[Document] = asyncio.Queue()
 
     def reload() -> None:
-        # SIGHUP is no end: unhandled, it killed the router with all that was open
         try:
-            document = read().document
+            reloads.put_nowait(read().document)
         except ConfigError as err:
             log.error("configuration not reloaded", extra=fields(reason=err))
-            return
-        reloads.put_nowait(document)
 
     async def apply() -> None:
         while True:
@@ -243,13 +263,9 @@
                 host, port = document.changelog
                 log.info("configuration reloaded", extra=fields(changelog=f"{host}:{port}"))
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, router.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
     applying = asyncio.ensure_future(apply())
-    gc.freeze()
     try:
-        await router.run()
+        await serve(router, reload)
     finally:
         applying.cancel()
 
@@ -264,7 +280,7 @@
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_serve(config, read))
+        asyncio.run(_run(config, read))
     except OSError as err:
         host, port = config.document.listen
         print(f"magpieshift: cannot listen on {host}:{port}: {err}", file=sys.stderr)
--- /dev/null
+++ b/magpieshift/cli/main.py
@@ -0,0 +1,318 @@
+"""The sub-commands. Exit codes: 0 done; 1 it failed or was turned down, or a comparison found differences;
+2 the call or a file cannot be used."""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import click
+
+from magpieshift.cli.logs import setup
+from magpieshift.config import ConfigError
+
+
+class Hinting(click.Group):
+    """A group that hints at the word that was meant."""
+
+    def resolve_command(
+        self, ctx: click.Context, args: list[str]
+    ) -> tuple[str | None, click.Command | None, list[str]]:
+        word = args[0] if args else ""
+        if word and not word.startswith("-") and self.get_command(ctx, word) is None:
+            close = difflib.get_close_matches(word, self.list_commands(ctx), 1)
+            hint = f"did you mean {close[0]!r}?" if close else f"one of: {', '.join(self.list_commands(ctx))}"
+            raise click.UsageError(f"no such command {word!r}; {hint}", ctx)
+        return super().resolve_command(ctx, args)
+
+
+EXAMPLES = """\b
+Examples:
+  magpieshift config check deploy/magpieshift.sexp
+  magpieshift control serve versions/ --listen 127.0.0.1:7080
+  magpieshift run --config deploy/magpieshift.sexp --state state/ --control 127.0.0.1:7080
+"""
+
+
+@click.group(cls=Hinting, epilog=EXAMPLES, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="magpieshift")
+def cli() -> None:
+    """An edge router for the caches of a small content network. Without a word, one is run as EDGE_CONFIG,
+    EDGE_LISTEN and EDGE_NAME say."""
+
+
+LOG = click.option(
+    "--log", "log_form", type=click.Choice(["pairs", "json"]), default="pairs", envvar="EDGE_LOG",
+    help="Form of the log's lines.  [pairs]",
+)  # fmt: skip
+JSON = click.option("--json", "as_json", is_flag=True, help="For machines.")
+
+
+@cli.command(
+    "run", epilog="\b\nExample:\n  magpieshift run --config router.sexp --state /var/lib/magpieshift"
+)
+@click.option("--config", envvar="EDGE_CONFIG", default="", help="Settings file.")
+@click.option("--state", envvar="EDGE_STATE", default="", help="Folder where versions are kept.")
+@click.option("--control", envvar="EDGE_CONTROL", default="", help="host:port of the control service.")
+@click.option("--name", envvar="EDGE_NAME", default="", help="Wins over the settings' name.")
+@click.option("--listen", envvar="EDGE_LISTEN", default="", help="Wins over the settings' listen.")
+@LOG
+def run_(config: str, state: str, control: str, name: str, listen: str, log_form: str) -> None:
+    """Run an edge router, with versions kept and followed where it is told to."""
+    from magpieshift.control.runner import Options, run
+
+    setup(log_form)
+    options = Options(config, state, control, name, listen)
+    try:
+        run(options)
+    except OSError as err:
+        raise click.ClickException(f"cannot listen: {err}") from err
+
+
+@cli.group(cls=Hinting)
+def config() -> None:
+    """Settings files and versions."""
+
+
+@config.command(epilog="\b\nExample:\n  magpieshift config check router.sexp")
+@click.argument("file")
+@JSON
+def check(file: str, as_json: bool) -> None:
+    """Check a settings file; exit code 1 if it cannot be used."""
+    from magpieshift.cli import show
+    from magpieshift.control import schema
+    from magpieshift.control.sexp import Unusable
+
+    try:
+        loaded = schema.load_file(file)
+    except Unusable as err:
+        if as_json:
+            show.as_json({"file": file, "usable": False, "problems": [vars(p) for p in err.problems]})
+        else:
+            for problem in err.problems:
+                click.echo(f"{file}: {problem}", err=True)
+        raise SystemExit(1) from None
+    if as_json:
+        show.as_json({"file": file, "usable": True, "version": loaded.version, "digest": loaded.digest})
+    else:
+        document = loaded.document
+        click.echo(
+            f"{file}: can be used; {len(document.names.classes)} classes, {len(document.names.zones)} zones, "
+            f"digest {loaded.digest}"
+        )
+
+
+STATE = click.option("--state", envvar="EDGE_STATE", default="", help="Folder where a router keeps versions.")
+
+
+def _data(what: str, state: str) -> dict[str, Any]:
+    """A document's data: a file's, or by its number that of a version kept."""
+    from magpieshift.control import runner, schema
+    from magpieshift.control import store as stores
+
+    if state and what.isdecimal():
+        for kept in reversed(stores.read(state).kept):
+            if kept.record.number == int(what) and kept.text:
+                return dict(schema.load_text(kept.text).data)
+        raise ConfigError(f"{state} has no version {what}")
+    loaded, _ = runner.load_any(what)
+    return dict(loaded.data)
+
+
+@config.command("show", epilog="\b\nExample:\n  magpieshift config show --state state/ 12")
+@click.argument("what", default="")
+@STATE
+@JSON
+def show_(what: str, state: str, as_json: bool) -> None:
+    """Show WHAT as a settings file: a file of either kind, or with --state a version's number; the version in
+    force where WHAT is left out."""
+    from magpieshift.cli import show
+    from magpieshift.control import sexp
+    from magpieshift.control import store as stores
+
+    if not what and not state:
+        raise click.UsageError("name a file, or a folder with --state")
+    if not what:
+        force = stores.read(state).in_force
+        if force is None:
+            raise ConfigError(f"{state} has no version in force")
+        what = str(force.record.number)
+    data = _data(what, state)
+    if as_json:
+        show.as_json({"digest": sexp.digest(data), "settings": data})
+    else:
+        click.echo(f"; digest {sexp.digest(data)}\n{sexp.write(data)}", nl=False)
+
+
+@config.command(epilog="\b\nExample:\n  magpieshift config diff old.sexp new.sexp")
+@click.argument("a")
+@click.argument("b")
+@STATE
+@JSON
+def diff(a: str, b: str, state: str, as_json: bool) -> None:
+    """What makes B of A, each a file or with --state a version's number; exit code 1 if anything does."""
+    from magpieshift.cli import show
+    from magpieshift.control import sexp
+
+    changes = sexp.differences(_data(a, state), _data(b, state))
+    if as_json:
+        show.as_json([{"path": c.path, "gone": c.value is None, "value": c.value} for c in changes])
+    for change in [] if as_json else changes:
+        click.echo(str(change))
+    raise SystemExit(1 if changes else 0)
+
+
+@config.command(epilog="\b\nExample:\n  magpieshift config history --state state/")
+@STATE
+@JSON
+def history(state: str, as_json: bool) -> None:
+    """The versions that a router has kept: what came into force when, and what was turned down and why."""
+    import datetime
+
+    from magpieshift.cli import show
+    from magpieshift.control import store as stores
+
+    if not state:
+        raise click.UsageError("name the folder with --state")
+    contents = stores.read(state)
+    records = [kept.record for kept in stores.history(contents)]
+    if as_json:
+        show.as_json(
+            {
+                "damaged": contents.damaged, "torn_bytes": contents.torn,
+                "versions": [
+                    {
+                        "number": r.number, "state": r.state.value, "at_us": r.at_us, "digest": r.digest,
+                        "source": r.source, "reason": r.reason.name.lower(), "detail": r.detail,
+                        "skipped": r.skipped,
+                    }
+                    for r in records
+                ],
+            }
+        )  # fmt: skip
+        return
+    rows = []
+    for r in records:
+        at = datetime.datetime.fromtimestamp(r.at_us / 1e6, datetime.UTC).strftime("%Y-%m-%d %H:%M:%S")
+        why = f"{r.reason.name.lower()}: {r.detail}" if r.detail else ""
+        rows.append((r.number, r.state.value, at, r.source, r.digest[:12], why[:100]))
+    show.table(("version", "state", "since (UTC)", "from", "digest", "why"), rows)
+    if contents.damaged or contents.torn:
+        click.echo(f"{contents.damaged} damaged stretches, {contents.torn} bytes torn off", err=True)
+
+
+@config.command(epilog="\b\nExample:\n  magpieshift config rollback 12 --versions versions/")
+@click.argument("number", type=int)
+@click.option("--versions", required=True, help="The control service's folder.")
+@JSON
+def rollback(number: int, versions: str, as_json: bool) -> None:
+    """Publish the content of version NUMBER again, as a new version above all others."""
+    import os
+    from pathlib import Path
+
+    from magpieshift.cli import show
+    from magpieshift.control import schema, sexp
+    from magpieshift.control.publisher import read_folder
+
+    if not Path(versions).is_dir():
+        raise ConfigError(f"{versions} is no folder")
+    found = {version.number: version for version in read_folder(versions)}
+    if number not in found:
+        raise ConfigError(f"{versions} has no version {number}")
+    data = schema.load_text(found[number].text).data
+    new = max(found) + 1
+    path = Path(versions) / f"{new}.sexp"
+    part = path.with_suffix(".new")
+    part.write_text(f"; version {number} again\n{sexp.write(data)}", encoding="utf-8")
+    os.rename(part, path)  # the service must not read half of it
+    if as_json:
+        show.as_json({"version": new, "of": number, "digest": found[number].digest})
+    else:
+        click.echo(f"version {new} has the content of version {number}")
+
+
+@cli.group(cls=Hinting)
+def control() -> None:
+    """The control service."""
+
+
+@control.command(
+    "serve", epilog="\b\nExample:\n  magpieshift control serve versions/ --listen 127.0.0.1:7080"
+)
+@click.argument("folder")
+@click.option("--listen", default="127.0.0.1:7080", show_default=True)
+@LOG
+def serve_(folder: str, listen: str, log_form: str) -> None:
+    """Serve the versions in FOLDER (files NUMBER.sexp, also ones that come later) to all routers that ask."""
+    from pathlib import Path
+
+    from magpieshift.control.service import serve_folder
+
+    setup(log_form)
+    if not Path(folder).is_dir():
+        raise ConfigError(f"{folder} is no folder")
+    try:
+        asyncio.run(serve_folder(folder, listen))
+    except OSError as err:
+        raise click.ClickException(str(err)) from err
+    except KeyboardInterrupt:
+        pass
+
+
+@cli.group(cls=Hinting)
+def lab() -> None:
+    """The laboratory: failures on purpose, on loopback, and what they show."""
+
+
+@lab.command(epilog="\b\nExample:\n  magpieshift lab versions --count 1000 --invalid 0.2 --seed 7 --json")
+@click.option("--count", default=1000, show_default=True, help="Versions to send.")
+@click.option("--invalid", default=0.2, show_default=True, help="Share of them that cannot be used.")
+@click.option("--kills", default=6, show_default=True, help="Times the router is killed (SIGKILL).")
+@click.option("--breaks", default=10, show_default=True, help="Times the connection is broken.")
+@click.option("--rate", default=20.0, show_default=True, help="Requests a second meanwhile.")
+@click.option("--seed", default=1, show_default=True)
+@JSON
+def versions(
+    count: int, invalid: float, kills: int, breaks: int, rate: float, seed: int, as_json: bool
+) -> None:
+    """Send a real router numbered versions, break its connection, kill it, and check what it has in force."""
+    from magpieshift.cli import show
+    from magpieshift.lab.versions import Plan, play
+
+    setup("pairs", "ERROR")
+    report = asyncio.run(play(Plan(count, invalid, kills, breaks, rate, seed), progress=not as_json))
+    if as_json:
+        show.as_json(report.figures())
+    else:
+        show.table(("figure", "value"), list(report.figures().items()))
+        for line in report.findings[:20]:
+            click.echo(line, err=True)
+    raise SystemExit(0 if report.good else 1)
+
+
+def run(args: Sequence[str]) -> int:
+    """Run the command line; its exit code."""
+    from magpieshift.control.sexp import Unusable
+    from magpieshift.control.store import StoreError
+
+    try:
+        cli.main(args=list(args), prog_name="magpieshift", standalone_mode=False)
+    except click.UsageError as err:
+        err.show()
+        return 2
+    except (ConfigError, StoreError, Unusable) as err:
+        print(f"magpieshift: {err}", file=sys.stderr)
+        return 2
+    except click.ClickException as err:
+        err.show()
+        return 1
+    except click.exceptions.Exit as err:
+        return err.exit_code
+    except click.Abort:
+        return 130
+    except SystemExit as err:
+        return int(err.code or 0)
+    return 0
--- /dev/null
+++ b/magpieshift/control/runner.py
@@ -0,0 +1,125 @@
+"""A router with versioned configuration: wiring of router, keeper, store and control client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from magpieshift.app import EdgeRouter, serve
+from magpieshift.config import Config, ConfigError, address, parse
+from magpieshift.control.content import Overrides
+from magpieshift.control.keeper import Keeper, as_loaded, first_version, opened
+from magpieshift.control.schema import Loaded, load_text
+from magpieshift.control.sexp import Unusable
+from magpieshift.log import fields
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Options:
+    """What ``run`` is told."""
+
+    config: str = ""  # a settings file, S-expression or the platform's JSON; needed unless a version is kept
+    state: str = ""  # the folder where versions are kept
+    control: str = ""  # host:port of the control service
+    name: str = ""
+    listen: str = ""
+
+    @property
+    def overrides(self) -> Overrides:
+        return Overrides(self.name, address(self.listen, "listen") if self.listen else None)
+
+
+def load_any(path: str) -> tuple[Loaded, Config | None]:
+    """A settings file of either kind; with the whole of the platform's, what it tells of this start.
+    ``ConfigError`` in one line where it cannot be used."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as err:
+        raise ConfigError(f"{path} cannot be read: {err}") from err
+    if not text.lstrip().startswith("{"):
+        try:
+            return load_text(text, path), None
+        except Unusable as err:
+            raise ConfigError(f"{path}: {err}") from err
+    try:
+        config = parse(json.loads(text))
+    except (ValueError, RecursionError) as err:
+        raise ConfigError(f"{path} cannot be read: {err}") from err
+    return as_loaded(config.document), config
+
+
+class Installation:
+    """Owner of one router with its versions."""
+
+    def __init__(self, options: Options) -> None:
+        """Read what is there; ``ConfigError`` where there is nothing to run on."""
+        self._options = options
+        overrides = options.overrides
+        start, platform = load_any(options.config) if options.config else (None, None)
+        store, trouble = opened(options.state) if options.state else (None, "")
+        try:
+            ledger, loaded = first_version(start, store, options.config)
+        except LookupError as err:
+            raise ConfigError(str(err)) from None
+        document = overrides.on(loaded.document)
+        seed = platform.seed if platform is not None else secrets.randbits(64)
+        known = platform.known if platform is not None else {}
+        self.router = EdgeRouter(Config(document, seed, known, ledger.in_force.number))
+        self.keeper = Keeper(self.router, ledger, loaded.data, store, trouble, overrides)
+        self._name = document.name
+
+    def reload(self) -> None:
+        """SIGHUP: the settings file is offered as a version."""
+        if not self._options.config:
+            log.error("configuration not reloaded", extra=fields(reason="there is no settings file"))
+            return
+        try:
+            loaded, _ = load_any(self._options.config)
+        except ConfigError as err:
+            log.error("configuration not reloaded", extra=fields(reason=err))
+            return
+        self.keeper.offer_file(loaded, self._options.config)
+
+    async def run(self, prepared: Callable[[Installation], None] = lambda installation: None) -> None:
+        """Serve until the router is stopped."""
+        prepared(self)
+        self.keeper.start()
+        client = None
+        if self._options.control:
+            from magpieshift.control.client import ControlClient  # gRPC, only where it is used
+
+            client = ControlClient(
+                self._options.control, self.keeper, self._name, secrets.token_hex(4), random.Random()
+            )
+        ending = asyncio.ensure_future(self._end_with())
+        try:
+            await serve(self.router, self.reload, client.start if client is not None else lambda: None)
+        finally:
+            if not self.router.ending:  # it never came to serve
+                ending.cancel()
+                await self.keeper.stop()
+            await asyncio.wait([ending])
+            if client is not None:
+                await client.stop()
+
+    async def _end_with(self) -> None:
+        """Nothing else changes while the router drains."""
+        await self.router.stopping()
+        await self.keeper.stop()
+
+
+def run(options: Options, prepared: Callable[[Installation], None] = lambda installation: None) -> None:
+    """Run a router; ``ConfigError`` and ``OSError`` are for the caller to tell."""
+
+    async def main() -> None:
+        await Installation(options).run(prepared)
+
+    asyncio.run(main())
--- a/magpieshift/lab/__init__.py
+++ b/magpieshift/lab/__init__.py
@@ -0,0 +1,2 @@
+"""The laboratory: stand-ins for all that a router talks to, on loopback, and experiments that cause
+failures."""
--- /dev/null
+++ b/magpieshift/lab/peers.py
@@ -0,0 +1,253 @@
+"""Stand-ins, written from the protocol pages: a store, a change log, and a client that counts its answers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from magpieshift.back import lines
+from magpieshift.front import frames
+from magpieshift.front.frames import Code, Type
+
+BODY = b"x" * 600
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on right now."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+class Watch:
+    """What the stores see together: the rules that need more than one of them to judge."""
+
+    def __init__(self) -> None:
+        self._out: dict[str, int] = {}
+        self.twice: list[str] = []  # requests of which a second attempt came while one was out
+        self.asks = 0
+
+    def began(self, ident: str) -> None:
+        self.asks += 1
+        self._out[ident] = self._out.get(ident, 0) + 1
+        if self._out[ident] > 1:
+            self.twice.append(ident)
+
+    def ended(self, ident: str) -> None:
+        self._out[ident] -= 1
+        if not self._out[ident]:
+            del self._out[ident]
+
+
+class Store:
+    """A cache or an origin: it answers what it holds, and keeps what it was asked to fill."""
+
+    def __init__(self, ident: str, watch: Watch, delay_s: float = 0.004, holds_all: bool = False) -> None:
+        self.ident, self._watch, self.delay_s, self._holds_all = ident, watch, delay_s, holds_all
+        self._held: set[tuple[str, str]] = set()
+        self._server: asyncio.Server | None = None
+        self.asked: list[tuple[float, str]] = []  # when, and what for
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        open_: dict[str, asyncio.Task[None]] = {}
+        try:
+            while line := await reader.readline():
+                words = line.decode().split()
+                if words[0] == "ASK":
+                    fields, size = lines.read_fields(words[2]), int(words[3])
+                    if size:
+                        await reader.readexactly(size + len(lines.END))
+                    else:
+                        await reader.readline()
+                    open_[words[1]] = asyncio.ensure_future(self._answer(words[1], fields, writer, open_))
+                elif words[0] == "QUIT" and (task := open_.pop(words[1], None)) is not None:
+                    task.cancel()
+                elif words[0] in ("NOOP", "INFO"):
+                    writer.write(f"{words[1]} well - 0\r\n\r\n".encode())
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            for task in open_.values():
+                task.cancel()
+            writer.close()
+
+    async def _answer(
+        self, ident: str, fields: Mapping[str, str], writer: asyncio.StreamWriter, open_: dict[str, Any]
+    ) -> None:
+        part = fields["key"], fields["part"]
+        self.asked.append((time.time(), ident))
+        self._watch.began(ident)
+        try:
+            await asyncio.sleep(self.delay_s)
+        finally:
+            self._watch.ended(ident)
+        if not (self._holds_all or part in self._held or "via" in fields):
+            writer.write(f"{ident} absent - 0\r\n\r\n".encode())
+        else:
+            self._held.add(part)
+            minted = int(time.time() * 1000)
+            writer.write(f"{ident} data tag=t1,minted={minted} {len(BODY)}\r\n".encode() + BODY + lines.END)
+        open_.pop(ident, None)
+
+
+class Log:
+    """The change log: what was told is told again from where a router left off."""
+
+    def __init__(self) -> None:
+        self._events: list[dict[str, Any]] = []
+        self._news = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    def tell(self, **event: Any) -> None:
+        self._events.append({"seq": len(self._events) + 1} | event)
+        self._news.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # at the end of the program the server's tasks are cancelled, which asyncio's streams would report
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            last = head.partition("last-event-id:")[2].partition("\r\n")[0].strip()
+            at = int(last or 0)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+            while True:
+                for event in self._events[at:]:
+                    writer.write(f"id: {event['seq']}\ndata: {json.dumps(event)}\n\n".encode())
+                at = len(self._events)
+                writer.write(b": alive\n\n")
+                await writer.drain()
+                self._news.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._news.wait(), 0.5)
+        writer.close()
+
+
+def member(store: Store, zone: str, kind: str, cell: int, phase: str = "SERVING") -> dict[str, Any]:
+    """A store as the change log lists it."""
+    return {
+        "id": store.ident, "host_port": f"127.0.0.1:{store.port}", "locality": zone, "flavor": kind,
+        "cell": cell, "phase": phase, "size": 4, "up_since_ms": 0,
+    }  # fmt: skip
+
+
+class Client:
+    """One client connection at a time, made anew when it ends; every request must get one answer.
+
+    ``alive`` tells whether the router may be expected to answer: what is open when it is killed is
+    ``cut``."""
+
+    def __init__(self, port: int, rand: random.Random, alive: Callable[[], bool]) -> None:
+        self._port, self._random, self._alive = port, rand, alive
+        self._open: dict[int, float] = {}  # stream: when its time is over
+        self._writer: asyncio.StreamWriter | None = None
+        self.sent = self.served = self.refused = self.failed = 0
+        self.lost = self.cut = self.doubles = 0
+        self._settled = asyncio.Event()
+
+    async def run(self, rate: float, classes: Callable[[], list[str]]) -> None:
+        """Send open arrivals until ``settle``."""
+        reading: asyncio.Task[None] | None = None
+        stream = 0
+        try:
+            while not self._settled.is_set():
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._settled.wait(), self._random.expovariate(rate))
+                if self._settled.is_set():
+                    break
+                self._expire()
+                if self._writer is None or reading is None or reading.done():
+                    try:
+                        reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
+                    except OSError:
+                        continue
+                    stream = 0
+                    reading = asyncio.ensure_future(self._read(reader))
+                stream += 1
+                self._send(stream, self._random.choice(classes()))
+            while self._open:  # each has a time at which it counts as lost
+                await asyncio.sleep(0.01)
+                self._expire()
+        finally:
+            if reading is not None:
+                reading.cancel()
+            if self._writer is not None:
+                self._writer.close()
+
+    def settle(self) -> None:
+        """Send no more; ``run`` ends once all is answered or lost."""
+        self._settled.set()
+
+    def _send(self, stream: int, name: str) -> None:
+        assert self._writer is not None
+        fields = {
+            "c": name, "i": f"{self._random.getrandbits(64):016x}", "d": "1500",
+            "o": f"{self._random.randrange(200) + 1:016x}", "slice": "0", "set": "1", "m": "1",
+        }  # fmt: skip
+        if name.startswith("basket"):
+            fields["k"] = fields["i"]
+        self._writer.write(frames.head(Type.REQUEST, stream, frames.write_fields(fields)))
+        self._open[stream] = time.monotonic() + 2.5
+        self.sent += 1
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        parser = frames.FrameParser()
+        try:
+            while data := await reader.read(65536):
+                for frame in parser.feed(data):
+                    if frame.type == Type.ANSWER:
+                        self._answered(frame)
+        except ConnectionError:
+            pass
+        # at once: by the next request a router that was killed may be up again
+        self._ended()
+
+    def _answered(self, frame: frames.Frame) -> None:
+        if self._open.pop(frame.stream, None) is None:
+            self.doubles += 1
+            return
+        code = frame.payload[0]
+        self.served += code == Code.OK
+        self.refused += code == Code.REFUSED
+        self.failed += code == Code.FAILED
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for stream in [stream for stream, end in self._open.items() if end < now]:
+            del self._open[stream]
+            self._count_lost(1)
+
+    def _ended(self) -> None:
+        """The connection has ended with requests open."""
+        self._count_lost(len(self._open))
+        self._open.clear()
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
+
+    def _count_lost(self, count: int) -> None:
+        if self._alive():
+            self.lost += count
+        else:
+            self.cut += count
--- /dev/null
+++ b/tests/control/test_program.py
@@ -0,0 +1,245 @@
+"""The program as a process: killed at every step of a version, without its control service, and its command
+line."""
+
+import asyncio
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from magpieshift.control import sexp, store
+from magpieshift.control.ledger import Record, State
+from magpieshift.control.publisher import Published
+from magpieshift.control.schema import load_data, to_data
+from magpieshift.control.service import ControlService
+from magpieshift.lab import peers
+from magpieshift.lab.versions import Plan, play
+from tests.control.test_documents import EXAMPLE
+from tests.real.exchange import PATIENCE_S, ROOT, config
+
+STEPS = ("received", "taken", "read", "prepared", "kept", "committed", "answered")
+KILLED_AT = """
+import os, signal, sys
+from magpieshift.cli import main
+from magpieshift.control import runner
+plain = runner.run
+def at(name, installation):
+    if name == sys.argv[1] and installation.router.version == 1 + (name in ("committed", "answered")):
+        os.kill(os.getpid(), signal.SIGKILL)
+def prepared(installation):
+    installation.keeper.step = lambda name: at(name, installation)
+runner.run = lambda options: plain(options, prepared)
+main.run(sys.argv[2:])
+"""
+HALF = """
+import sys
+from magpieshift.back.pool import Pool
+from magpieshift.cli.main import run
+Pool.prepare = lambda self, old, new: lambda: None
+sys.exit(run(sys.argv[1:]))
+"""
+HEAVY = (
+    "grpc",
+    "google.protobuf",
+    "pydantic",
+    "msgspec",
+    "click",
+    "structlog",
+    "sexpdata",
+    "crc32c",
+    "hdrh",
+    "numpy",
+)
+
+
+def program(*words: str, **environment: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "magpieshift", *words], capture_output=True, text=True, cwd=ROOT,
+        env=os.environ | environment, timeout=PATIENCE_S,
+    )  # fmt: skip
+
+
+class FolderCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def settings(self, log_port: int = 9) -> dict[str, Any]:
+        ports = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": f"127.0.0.1:{log_port}"}
+        from magpieshift import parse
+
+        data = to_data(parse(config(ports)).document)
+        return data | {"listen": f"127.0.0.1:{peers.free_port()}"}
+
+
+class Killed(FolderCase):
+    async def test_at_every_step_what_is_in_force_afterwards_is_whole(self) -> None:
+        """What was acknowledged, or the version after it; and the router serves from it with nobody to
+        ask."""
+        for step in STEPS:
+            with self.subTest(step):
+                await self.killed_at(step, self.folder / step)
+
+    async def killed_at(self, step: str, folder: Path) -> None:
+        folder.mkdir()
+        service, first = ControlService(), self.settings()
+        await service.start("127.0.0.1:0")
+        acknowledged: list[int] = []
+        service.heard = lambda stream, data: acknowledged.append(stream.subscriber.in_force)
+        start, state = folder / "start.sexp", folder / "state"
+        start.write_text(sexp.write(first))
+        words = [
+            "run",
+            "--config",
+            str(start),
+            "--state",
+            str(state),
+            "--control",
+            f"127.0.0.1:{service.port}",
+        ]
+        documents = {n: first | {"retry-after-ms": 100 + n} for n in (1, 2)}
+        service.publish(Published.of(1, sexp.write(documents[1])))
+        with (folder / "log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", KILLED_AT, step, *words, stderr=log, cwd=ROOT
+            )
+            try:
+                async with asyncio.timeout(PATIENCE_S):
+                    while 1 not in acknowledged:
+                        await asyncio.sleep(0.005)
+                    service.publish(Published.of(2, sexp.write(documents[2])))
+                    self.assertEqual(await process.wait(), -9, (folder / "log").read_text())
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await service.stop()
+        kept = store.read(state).in_force
+        assert kept is not None
+        self.assertEqual(kept.record.number, 2 if step in ("kept", "committed", "answered") else 1)
+        self.assertGreaterEqual(kept.record.number, max(acknowledged))
+        self.assertEqual(sexp.read(kept.text).data, documents[kept.record.number])
+        # the control service is gone: the router starts from what it has kept, and says so
+        text = await self.until_ready(words)
+        self.assertRegex(text, rf"event=ready name=n1 seq=0 version={kept.record.number}\b")
+        self.assertRegex(text, rf'event="control service lost".*version={kept.record.number}\b')
+
+    async def until_ready(self, words: list[str]) -> str:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "magpieshift", *words, stderr=subprocess.PIPE, cwd=ROOT
+        )
+        assert process.stderr is not None
+        text = ""
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while not ("event=ready" in text and "control service lost" in text):
+                    line = await process.stderr.readline()
+                    self.assertTrue(line, text)
+                    text += line.decode()
+        finally:
+            process.kill()
+            await process.wait()
+        return text
+
+
+class Laboratory(unittest.IsolatedAsyncioTestCase):
+    async def test_a_short_run_finds_nothing(self) -> None:
+        report = await play(Plan(count=60, invalid=0.3, kills=2, breaks=2, seed=5, rate=40))
+        self.assertTrue(report.good, (report.figures(), report.findings))
+        self.assertEqual((report.sent, report.kills, report.breaks), (60, 2, 2))
+        self.assertGreater(min(report.accepted, report.rejected, report.requests), 10)
+
+    async def test_a_part_that_does_not_commit_is_reported(self) -> None:
+        """The check can fail: here the back says that it is ready, and stays as it was."""
+        broken = (sys.executable, "-c", HALF)
+        report = await play(Plan(count=30, invalid=0, kills=0, breaks=0, seed=5, program=broken))
+        self.assertFalse(report.good)
+        self.assertGreater(report.half_applied, 0)
+        self.assertIn("is not what runs in back", report.findings[0])
+
+
+class CommandLine(FolderCase):
+    def test_the_platforms_run_imports_none_of_what_others_need(self) -> None:
+        found = f"print([m for m in {HEAVY} if m in sys.modules])"
+        code = f"import sys, magpieshift.__main__, magpieshift.app; {found}"
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
+        self.assertEqual(done.stdout, "[]\n", done.stderr)
+
+    def test_check(self) -> None:
+        bad = self.folder / "bad.sexp"
+        bad.write_text(EXAMPLE.read_text().replace("(sockets 512)", "(sockets 12)"))
+        good, wrong = program("config", "check", str(EXAMPLE)), program("config", "check", str(bad))
+        self.assertEqual((good.returncode, wrong.returncode), (0, 1), good.stderr)
+        self.assertRegex(wrong.stderr, r"line \d+: limits sockets: found 12, expected")
+        said = json.loads(program("config", "check", str(bad), "--json").stdout)
+        self.assertEqual([p["where"] for p in said["problems"]], ["limits sockets"])
+
+    def test_bad_words_get_a_hint_and_help_has_examples(self) -> None:
+        done = program("confg")
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("did you mean 'config'?", done.stderr)
+        for words in (["--help"], ["run", "-h"], ["config", "diff", "-h"], ["control", "serve", "-h"]):
+            self.assertRegex(program(*words).stdout, r"Examples?:\n +magpieshift")
+        for words in (["run"], ["config", "show", "/no/such"], ["config", "history", "--state", "/no/such"]):
+            done = program(*words)
+            self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+
+    def test_history_show_diff_and_rollback(self) -> None:
+        first = self.settings()
+        texts = {n: sexp.write(first | {"retry-after-ms": 100 + n}) for n in (1, 2)}
+        kept = store.Store(self.folder / "state")
+        for number, text in texts.items():
+            digest = sexp.digest(sexp.read(text).data)
+            record = Record(number, digest, "control", State.IN_FORCE, 1_764_576_000_000_000)
+            kept.append(store.Kept(record, text))
+        kept.close()
+        state = ["--state", str(self.folder / "state")]
+        table = program("config", "history", *state).stdout.splitlines()
+        self.assertRegex(table[1], r"^1 +replaced +2025-12-01 08:00:00 +control")
+        self.assertRegex(table[2], r"^2 +in force")
+        shown = json.loads(program("config", "show", *state, "--json").stdout)
+        self.assertEqual(load_data(shown["settings"]), load_data(sexp.read(texts[2]).data))
+        done = program("config", "diff", "1", "2", *state)
+        self.assertEqual((done.returncode, done.stdout), (1, "retry-after-ms: (retry-after-ms 102)\n"))
+        folder = self.folder / "versions"
+        folder.mkdir()
+        for number, text in texts.items():
+            (folder / f"{number}.sexp").write_text(text)
+        done = program("config", "rollback", "1", "--versions", str(folder))
+        self.assertEqual(done.stdout, "version 3 has the content of version 1\n")
+        self.assertEqual(
+            program("config", "diff", str(folder / "1.sexp"), str(folder / "3.sexp")).returncode, 0
+        )
+
+    def test_log_lines_are_pairs_or_json(self) -> None:
+        bad = str(self.folder / "none" / "x")
+        (self.folder / "none").write_text("")
+        start = self.folder / "start.sexp"
+        start.write_text(sexp.write(self.settings()))
+        for form, found in (
+            ("pairs", r"event=\"versions cannot be kept\""),
+            ("json", r'"event": "versions cannot'),
+        ):
+            process = subprocess.Popen(
+                [
+                    sys.executable, "-m", "magpieshift", "run", "--config", str(start), "--state", bad,
+                    "--log", form,
+                ],
+                stderr=subprocess.PIPE, text=True, cwd=ROOT,
+            )  # fmt: skip
+            assert process.stderr is not None
+            lines = [process.stderr.readline(), process.stderr.readline()]
+            process.terminate()
+            self.assertEqual(process.wait(PATIENCE_S), 0)
+            process.stderr.close()
+            self.assertRegex(lines[0], found)
+            self.assertTrue(re.search("ready", lines[1]), lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/control/test_transaction.py
@@ -0,0 +1,222 @@
+"""All or none, whatever parts do in prepare; and what a running engine makes of a new document."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Awaitable
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magpieshift import Document, parse
+from magpieshift.app import expected
+from magpieshift.control.transaction import Commit, NotPrepared, TurnedDown, prepare
+from magpieshift.core import classes
+from magpieshift.core.model import Result, Verdict
+from molecleat import interface as api
+from molecleat.interface import Outcome, Phase
+from tests.real.exchange import config
+from tests.real.test_engine import CALL, SECOND, WRITE, EngineCase
+
+PORTS = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": "127.0.0.1:3"}
+DOCUMENT = parse(config(PORTS)).document
+
+
+class FakePart:
+    def __init__(self, part: str, how: str) -> None:
+        self.part, self.how, self.runs_on = part, how, "old"
+
+    def prepare(self, old: Document, new: Document) -> Commit | Awaitable[Commit]:
+        if self.how == "turned down":
+            raise TurnedDown("no")
+        if self.how == "raises":
+            raise ZeroDivisionError
+        if self.how == "never":
+            return asyncio.get_running_loop().create_future()
+        return self._later() if self.how == "later" else self._commit
+
+    async def _later(self) -> Commit:
+        await asyncio.sleep(0)
+        return self._commit
+
+    def _commit(self) -> None:
+        if self.how == "breaks its word":
+            raise ZeroDivisionError
+        self.runs_on = "new"
+
+    def running(self) -> dict[str, object]:
+        return {}
+
+
+class Transactions(unittest.IsolatedAsyncioTestCase):
+    async def test_every_way_in_which_three_parts_can_answer(self) -> None:
+        kinds = {"turned down": "part", "raises": "raised", "never": "late"}
+        for hows in itertools.product(["at once", "later", *kinds], repeat=3):
+            parts = [FakePart(f"p{i}", how) for i, how in enumerate(hows)]
+            first = next((how for how in hows if how in kinds), None)
+            with self.subTest(hows), mock.patch("magpieshift.control.transaction.log"):
+                if first is None:
+                    prepared = await prepare(parts, DOCUMENT, DOCUMENT)
+                    self.assertEqual({part.runs_on for part in parts}, {"old"})
+                    prepared.commit()
+                    self.assertEqual({part.runs_on for part in parts}, {"new"})
+                    continue
+                with self.assertRaises(NotPrepared) as caught:
+                    await prepare(parts, DOCUMENT, DOCUMENT, within_s=0.001)
+                self.assertEqual(caught.exception.kind, kinds[first])
+                self.assertEqual({part.runs_on for part in parts}, {"old"})
+
+    async def test_a_part_that_breaks_its_word_does_not_hold_up_the_others(self) -> None:
+        parts = [FakePart("a", "at once"), FakePart("b", "breaks its word"), FakePart("c", "at once")]
+        with self.assertLogs("magpieshift.control.transaction", "ERROR"):
+            (await prepare(parts, DOCUMENT, DOCUMENT)).commit()
+        self.assertEqual([part.runs_on for part in parts], ["new", "old", "new"])
+
+
+class ClassNumbers(unittest.TestCase):
+    @given(
+        st.lists(st.tuples(st.sets(st.sampled_from("abcdef"), min_size=1), st.integers(0, 63)), max_size=12)
+    )
+    @settings(deadline=None)
+    def test_no_number_ever_serves_two_classes_while_requests_are_open(
+        self, steps: list[tuple[set[str], int]]
+    ) -> None:
+        """Requests open under any class at any step, some of which end (the bits of the second figure)."""
+        figures = dict(
+            zip("abcdef", [replace(DOCUMENT.settings.classes[0], worth=w) for w in range(6)], strict=True)
+        )
+        now = classes.first(["a"], [figures["a"]])
+        open_: dict[int, str] = {0: "a"}
+        for names, ends in steps:
+            open_ = {number: name for number, name in open_.items() if not ends >> number & 1}
+            order = sorted(names)
+            now = classes.plan(now, order, [figures[name] for name in order], open_.keys())
+            for number, name in open_.items():
+                self.assertEqual(now.figures[number], figures[name])
+            self.assertEqual(set(now.numbers), names)
+            self.assertEqual(len(set(now.numbers.values())), len(names))
+            self.assertLessEqual(len(now.figures), 6 + len(open_))
+            for name, number in now.numbers.items():
+                self.assertEqual(now.figures[number], figures[name])
+                self.assertIn(open_.get(number, name), (name,))
+                open_[number] = name
+
+
+class Running(EngineCase):
+    """A new document on a running engine, with requests open."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.document = DOCUMENT
+        self.engine._names = DOCUMENT.names
+        plan = classes.first(DOCUMENT.names.classes, DOCUMENT.settings.classes)
+        self.engine._plan, self.engine.classes = plan, dict(plan.numbers)
+
+    def to(self, **changes: Any) -> Document:
+        """A document with other classes (by name), or other settings."""
+        by_name = changes.pop("classes", None)
+        names = self.document.names
+        if by_name is not None:
+            names = replace(names, classes=tuple(by_name))
+            changes["classes"] = tuple(by_name.values())
+        return replace(self.document, names=names, settings=replace(self.document.settings, **changes))
+
+    def apply(self, new: Document) -> None:
+        self.engine.prepare(self.document, new)()
+        self.document = new
+        self.clock.run()
+        self.assertEqual(self.engine.running(), expected(new)["engine"])
+
+    def test_what_is_open_ends_under_the_figures_it_was_taken_under(self) -> None:
+        """The class's time becomes shorter than the open request has already waited: it is waited for."""
+        picture, basket = DOCUMENT.settings.classes
+        self.ask()
+        short = replace(picture, effect=api.Effect.UNSAFE, deadline_us=SECOND, aim_us=SECOND // 2)
+        self.apply(self.to(classes={"picture": short, "basket": basket}))
+        self.clock.run(2 * SECOND)
+        self.assertEqual(self.answers, [])
+        self.end(Result(Outcome.OK, body=b"copy"))
+        self.assertEqual([a.verdict for a in self.answers], [Verdict.SERVED])
+        self.ask()
+        self.clock.run(SECOND)
+        self.assertEqual(len(self.answers), 2)
+
+    def test_a_class_goes_and_another_comes_while_its_requests_are_open(self) -> None:
+        picture, basket = DOCUMENT.settings.classes
+        self.ask(WRITE)
+        self.apply(self.to(classes={"picture": picture, "film": replace(picture, worth=9.0)}))
+        self.assertEqual(self.engine.classes, {"picture": 0, "film": 2})  # 1 is still the basket's
+        self.end(Result(Outcome.OK, body=b"kept"))
+        self.ask(replace(CALL, cls=2, class_name="film"))
+        self.assertEqual(self.back.orders[-1][0].call.class_name, "film")
+        self.end(Result(Outcome.OK, body=b"film"))
+        self.assertEqual([a.body for a in self.answers], [b"kept", b"film"])
+        self.clock.run(60 * SECOND)  # the basket's request has left the table
+        self.apply(self.to(classes={"picture": picture, "film": picture, "song": picture}))
+        self.assertEqual(self.engine.classes["song"], 1)
+        self.assertEqual(len(self.engine._router.work_us), 3)
+
+    def test_zones_and_kinds_may_change_their_order(self) -> None:
+        """Stores are listed by these numbers: the cache must still be the cache."""
+        names = replace(self.document.names, zones=("sea", "shop", "hub"), kinds=("source", "box", "upper"))
+        turned = replace(
+            self.document,
+            names=names,
+            settings=replace(
+                self.document.settings, zone=1, zone_hub=(0, 2, 2), zone_routers=(1, 2, 0),
+                zone_link_kb_per_s=(0.0, 90000.0, 0.0), parent_kind=2, origin_kind=0,
+            ),
+        )  # fmt: skip
+        self.ask()
+        self.apply(turned)
+        self.end(Result(Outcome.MISS))
+        order = self.back.orders[-1][0]
+        self.assertEqual(order.target.ident, "s-cache")
+        self.assertEqual(order.source, self.engine._members[self.members[1].entry.store])
+        self.assertEqual(
+            {m.ident: m.entry.zone for m in self.engine._members.values()}, {"s-cache": 1, "s-origin": 2}
+        )
+
+    def test_a_zone_with_stores_cannot_go(self) -> None:
+        new = replace(self.document, names=replace(self.document.names, zones=("hub", "mall")))
+        with self.assertRaisesRegex(TurnedDown, "zone shop"):
+            self.engine.prepare(self.document, new)
+
+    def test_a_drain_between_prepare_and_commit_stays(self) -> None:
+        """The version renumbers the zones, so the list is told anew: the drained cache must not come back."""
+        zones = ("shop", "hub")
+        new = replace(
+            self.to(zone=0, zone_hub=(1, 1), zone_routers=(2, 0), zone_link_kb_per_s=(9e4, 0.0)),
+            names=replace(self.document.names, zones=zones),
+        )
+        commit = self.engine.prepare(self.document, new)
+        self.ask()
+        waiting = self.back.orders[-1][0]  # for its connection: asked once more right before it is written
+        self.engine.list_changed(api.ListKind.DELTA, 2, [self.member("s-cache", 0, 1, 1, Phase.DRAINING)])
+        commit()
+        self.clock.run()
+        self.assertFalse(waiting.may_go())
+        for _ in range(20):
+            self.ask()
+        self.assertEqual({order.target.ident for order, _ in self.back.orders[1:]}, {"s-origin"})
+
+    def test_a_purge_between_prepare_and_commit_holds(self) -> None:
+        """No copy from before it may serve, under the old document or the new; one made later may."""
+        new = self.to(tick_us=3000)
+        commit = self.engine.prepare(self.document, new)
+        made = self.clock.now
+        self.engine.purged(CALL.key, 0, made)
+        commit()
+        self.clock.run(SECOND)
+        self.ask()
+        self.end(Result(Outcome.MISS))
+        order = self.back.orders[-1][0]
+        self.assertGreater(order.age_us, 0)
+        self.assertLess(order.age_us, self.clock.now - made)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -104,6 +104,8 @@
     def ended(self) -> list[tuple[int, Outcome, bool]]:
         return [(e.attempt, e.outcome, e.closed) for e in self.events if isinstance(e, api.Ended)]
 
+
+class Engines(EngineCase):
     def test_served_from_the_cache(self) -> None:
         self.ask()
         order = self.back.orders[0][0]
