--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -19,6 +19,7 @@
 from magpieshift.control.transaction import NotPrepared, Part, Prepared, TurnedDown, prepare
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Member
+from magpieshift.core.numbers import aligned
 from magpieshift.feed.changes import ChangeLog
 from magpieshift.feed.client import FeedClient
 from magpieshift.front.server import FrontServer, listen_socket
@@ -136,33 +137,31 @@
             document.streams_per_connection,
             most_connections=bounds.stores,
         )
-        self._engine = Engine(
+        self.engine = Engine(
             document.settings, config.seed, clock, self._pool, bounds.bytes_each, document.names
         )
-        self._front = FrontServer(
-            self._engine, clock, self._engine.classes, bounds.clients, bounds.bytes_each
-        )
+        self._front = FrontServer(self.engine, clock, self.engine.classes, bounds.clients, bounds.bytes_each)
         self._changes = ChangeLog(document.names, self)
         self._feed = FeedClient(document.changelog, self._changes)
         self._stopping = asyncio.Event()
-        limits = _Limits(self._engine, self._front, self._pool)
+        limits = _Limits(self.engine, self._front, self._pool)
         # the engine last but one: it enters the module, which may send at once
         self.parts: list[Part] = [
-            _AtStart(document), self._feed, self._pool, limits, self._front, self._engine,
+            _AtStart(document), self._feed, self._pool, limits, self._front, self.engine,
         ]  # fmt: skip
 
     def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None:
-        self._engine.list_changed(kind, version, members)
+        self.engine.list_changed(kind, version, members)
         self._pool.list_changed(members, whole=kind != api.ListKind.DELTA)
 
     def purged(self, key: str, group: int, made_us: int) -> None:
-        self._engine.purged(key, group, made_us)
+        self.engine.purged(key, group, made_us)
 
     def start(self) -> None:
         """Apply what is known, listen, follow the change log, and only then be ready."""
         self._changes.known(self._known)
         self._known = {}
-        self._engine.flush()
+        self.engine.flush()
         self._front.add_socket(listen_socket(*self.document.listen))
         self._feed.start()
         self._front.ready = True
@@ -180,7 +179,7 @@
     async def prepare(self, document: Document) -> Prepared:
         """Let all parts make ready for a document; ``NotPrepared`` where one turns it down. What comes back
         is for ``commit``, before any other document is prepared."""
-        return await prepare(self.parts, self.document, document)
+        return await prepare(self.parts, self.document, aligned(self.document, document))
 
     def commit(self, prepared: Prepared, version: int) -> None:
         """Put a document in force, in one turn of the event loop, letting go of nothing that is open."""
@@ -202,7 +201,7 @@
         started()
         tidying = asyncio.ensure_future(self._tidy())
         await self._stopping.wait()
-        log.info("draining", extra=fields(open=self._engine.open_requests))
+        log.info("draining", extra=fields(open=self.engine.open_requests))
         self._front.ready = False
         self._front.announce_end()
         await asyncio.sleep(LAST_CALL_S)
@@ -211,15 +210,19 @@
         waits_s = max(cls.deadline_us for cls in self.document.settings.classes) / 1e6
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(waits_s, LONGEST_WAIT_S) + LAST_S - DRAIN_S):
-                while self._engine.open_requests or self._front.owing:
+                while self.engine.open_requests or self._front.owing:
                     await asyncio.sleep(0.01)
-        self._engine.end_all()
+        self.engine.end_all()
         tidying.cancel()
+        self.close()
+        log.info("ended")
+
+    def close(self) -> None:
+        """Give back every socket, whatever is open."""
         self._front.stop()
         self._front.close_all()
         self._feed.stop()
         self._pool.close_all()
-        log.info("ended")
 
     async def _tidy(self) -> None:
         while True:
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -293,6 +293,39 @@
     raise SystemExit(0 if report.good else 1)
 
 
+@lab.command("apply", epilog="\b\nExample:\n  magpieshift lab apply --members 1000")
+@click.option("--members", default=1000, show_default=True, help="Stores in the list.")
+@click.option("--rounds", default=100, show_default=True, help="Versions of each kind.")
+@JSON
+def apply_(members: int, rounds: int, as_json: bool) -> None:
+    """Measure how long versions take to come into force, and how long the event loop is held."""
+    from magpieshift.cli import show
+    from magpieshift.lab.apply import measure
+
+    setup("pairs", "ERROR")
+    rows = asyncio.run(measure(members, rounds)).rows()
+    show.rows(rows, as_json)
+
+
+@lab.command(epilog="\b\nExample:\n  magpieshift lab cost --against ../earlier")
+@click.option("--against", default="", help="Folder of another checkout, measured in turn with this one.")
+@click.option("--rounds", default=5, show_default=True)
+@click.option("--requests", default=4000, show_default=True, help="In each run.")
+@click.option("--rate", default=400.0, show_default=True, help="Requests a second.")
+@JSON
+def cost(against: str, rounds: int, requests: int, rate: float, as_json: bool) -> None:
+    """Measure processor time a request and memory of the bare program."""
+    from pathlib import Path
+
+    import magpieshift
+    from magpieshift.cli import show
+    from magpieshift.lab.cost import Variant, compare
+
+    here = str(Path(magpieshift.__file__).parent.parent)
+    variants = [Variant("this", here), *([Variant("other", against)] if against else [])]
+    show.rows(asyncio.run(compare(variants, rounds, requests, rate)), as_json)
+
+
 def run(args: Sequence[str]) -> int:
     """Run the command line; its exit code."""
     from magpieshift.control.sexp import Unusable
--- a/magpieshift/cli/show.py
+++ b/magpieshift/cli/show.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import click
 
@@ -18,3 +18,11 @@
     widths = [max(len(row[i]) for row in text) for i in range(len(head))]
     for row in text:
         click.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+
+
+def rows(found: Sequence[Mapping[str, object]], for_machines: bool) -> None:
+    """Rows of the same figures, one object a row for machines."""
+    if for_machines:
+        as_json(list(found))
+    elif found:
+        table(list(found[0]), [["" if v is None else v for v in row.values()] for row in found])
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -82,13 +82,13 @@
         for field in dataclasses.fields(settings)
         if field.name != "classes"
     }
-    plain["zone"] = names.zones[settings.zone]
+    zones = names.zones
+    plain["zone"] = zones[settings.zone]
     for field in ("zone_hub", "zone_routers", "zone_link_kb_per_s"):
-        plain[field] = dict(zip(names.zones, plain[field], strict=False))
-    plain["zone_hub"] = {zone: names.zones[hub] for zone, hub in plain["zone_hub"].items()}
-    plain["parent_kind"], plain["origin_kind"] = (
-        names.kinds[k] for k in (settings.parent_kind, settings.origin_kind)
-    )
+        plain[field] = {name: value for name, value in zip(zones, plain[field], strict=True) if name}
+    plain["zone_hub"] = {zone: zones[hub] for zone, hub in plain["zone_hub"].items()}
+    for field in ("parent_kind", "origin_kind"):
+        plain[field] = names.kinds[plain[field]]
     plain["report_columns"] = list(settings.report_columns)
     plain["classes"] = {name: dataclasses.asdict(classes[name]) for name in sorted(classes)}
     return plain
--- a/magpieshift/control/keeper.py
+++ b/magpieshift/control/keeper.py
@@ -142,9 +142,9 @@
     async def _carry_out(self, offer: Offer) -> None:
         loop = asyncio.get_running_loop()
         self.step("taken")
-        call = partial(resolve, offer, self._data, self.in_force.digest)
+        call = partial(_read, offer, self._data, self.in_force.digest)
         try:
-            loaded = await loop.run_in_executor(None, call)
+            loaded, text = await loop.run_in_executor(None, call)
         except Refused as err:
             return await self._turn_down(err.reason, str(err))
         self.step("read")
@@ -215,6 +215,12 @@
             listener(answer, apply_us, pause_us)
 
 
+def _read(offer: Offer, data: Mapping[str, Any], digest: str) -> tuple[Loaded, str]:
+    """The document of an offer, and its text as it is kept; both take too long for the event loop."""
+    loaded = resolve(offer, data, digest)
+    return loaded, sexp.write(loaded.data)
+
+
 def opened(folder: str) -> tuple[Store | None, str]:
     """The store of a folder, or why it is not to be had; a router serves all the same."""
     try:
--- a/magpieshift/control/runner.py
+++ b/magpieshift/control/runner.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import secrets
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -21,6 +22,8 @@
 
 log = logging.getLogger(__name__)
 
+SWITCH_S = 0.0005  # versions are read in a thread, which would hold the event loop up for 5 ms at a time
+
 
 @dataclass(frozen=True)
 class Options:
@@ -91,6 +94,7 @@
     async def run(self, prepared: Callable[[Installation], None] = lambda installation: None) -> None:
         """Serve until the router is stopped."""
         prepared(self)
+        sys.setswitchinterval(SWITCH_S)
         self.keeper.start()
         client = None
         if self._options.control:
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -151,43 +151,30 @@
     # --- a new configuration
 
     def prepare(self, old: Document, new: Document) -> Callable[[], None]:
-        """Make ready for a new document: numbers for its classes, and for the zones and kinds of all
-        stores."""
-        moved = (old.names.zones, old.names.kinds) != (new.names.zones, new.names.kinds)
+        """Make ready for a new document, which numbers zones and kinds as the old one does
+        (``core.numbers.aligned``): give its classes their numbers, and see that no store loses its zone."""
         for what, before, after, used in (
             ("zone", old.names.zones, new.names.zones, {m.entry.zone for m in self._members.values()}),
             ("kind", old.names.kinds, new.names.kinds, {m.entry.kind for m in self._members.values()}),
         ):
-            for index in sorted(used):
-                if before[index] not in after:
-                    raise TurnedDown(
-                        f"{what} {before[index]} is not in the document, and stores are listed in it"
-                    )
+            for number in sorted(used):
+                if before[number] not in after:
+                    raise TurnedDown(f"{what} {before[number]} is left out, and stores are listed in it")
         busy = {request.call.cls for request in self._requests.values()}
         classes = plan(self._plan, new.names.classes, new.settings.classes, busy)
         settings = replace(new.settings, classes=classes.figures)
         # stores take on or lose their part by these; the module learns that from a whole list
         roles = ("zone", "parent_kind", "origin_kind")
-        relist = moved or any(getattr(old.settings, r) != getattr(new.settings, r) for r in roles)
-        zones = [new.names.zones.index(z) if z in new.names.zones else -1 for z in old.names.zones]
-        kinds = [new.names.kinds.index(k) if k in new.names.kinds else -1 for k in old.names.kinds]
+        relist = any(getattr(old.settings, role) != getattr(new.settings, role) for role in roles)
 
         def commit() -> None:
             self.flush()  # what has happened until now happened under the old settings
-            retune(
-                self._router, settings, classes.fresh, lambda z: max(0, zones[z]), lambda k: max(0, kinds[k])
-            )
+            retune(self._router, settings, classes.fresh)
             self._settings, self._plan, self._names = settings, classes, new.names
             self.classes.clear()
             self.classes.update(classes.numbers)
             if relist:
-                # a store listed since the check in a zone that now goes leaves with it
-                kept = [
-                    replace(m, entry=replace(m.entry, zone=zones[m.entry.zone], kind=kinds[m.entry.kind]))
-                    for m in self._members.values()
-                    if zones[m.entry.zone] >= 0 and kinds[m.entry.kind] >= 0
-                ]
-                self.list_changed(api.ListKind.FULL, 0, kept)
+                self.list_changed(api.ListKind.FULL, 0, tuple(self._members.values()))
                 self.flush()
 
         return commit
@@ -202,6 +189,11 @@
 
     # --- what the feed says
 
+    @property
+    def listed(self) -> int:
+        """How many stores are listed, of all zones."""
+        return len(self._members)
+
     def list_changed(self, kind: api.ListKind, version: int, members: Iterable[Member]) -> None:
         """Stores have come, changed or gone; a whole list drops what it leaves out."""
         members = tuple(members)
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -97,8 +97,8 @@
             raise ValueError(f"size {weight}")
         entry = api.Entry(
             store=store_number(ident),
-            zone=names.zones.index(raw["locality"]),
-            kind=names.kinds.index(raw["flavor"]),
+            zone=names.zones.index(raw["locality"] or None),  # numbers out of use have an empty name
+            kind=names.kinds.index(raw["flavor"] or None),
             cell=int(raw.get("cell", 0)),
             phase=phase,
             weight=weight,
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -72,7 +72,11 @@
     def running(self) -> dict[str, object]:
         """Where the log is read, and the words that it is read with."""
         names = self.changes.names
-        return {"address": list(self._address), "zones": sorted(names.zones), "kinds": sorted(names.kinds)}
+        return {
+            "address": list(self._address),
+            "zones": sorted(filter(None, names.zones)),
+            "kinds": sorted(filter(None, names.kinds)),
+        }
 
     def start(self) -> None:
         self._task = asyncio.ensure_future(self._run())
--- /dev/null
+++ b/magpieshift/lab/cost.py
@@ -0,0 +1,156 @@
+"""What a router costs: processor time a request and memory, of this program and another, in alternating runs.
+
+Each run starts the bare program as the platform does, on the platform's JSON, with the stand-ins of
+``World``, and sends it requests at a steady rate. The processor time is that of the whole process from its
+being ready to the end of the load, the memory its peak, both as the kernel counts them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import re
+import statistics
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from magpieshift.lab import peers
+from magpieshift.lab.world import World
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Variant:
+    """A program to measure: where it stands, the words behind ``-m magpieshift``, and its environment."""
+
+    name: str
+    folder: str
+    words: Sequence[str] = ()
+    environment: Mapping[str, str] | None = None
+
+
+@dataclass(frozen=True)
+class Cost:
+    """One run's."""
+
+    us_a_request: float
+    peak_mb: float
+    requests: int
+    served: int
+    lost: int
+
+
+def platform_json(world: World) -> dict[str, Any]:
+    """The platform's configuration for a router in this world."""
+    settings = {
+        "Balancers": 1, "Discovery": "pushed", "Locality": 1, "QuantumUs": 2000, "SelfIndex": 0,
+        "Weights": "rough", "Zones": ["hub", "shop"], "MachineTypes": ["box", "upper", "source"],
+        "Caps": {
+            "Cancelling": True, "ConnIdleUs": 15_000_000, "ConnectTimeoutUs": 400_000, "MaxAttempts": 8,
+            "MaxRetryAfterUs": 900_000, "MaxStreams": 32, "PeerMessages": False, "Probes": True,
+            "SecondCopies": False,
+        },
+        "Classes": [{
+            "Name": "picture", "AimStretch": 2.0, "AimUs": 500_000, "DedupWindowUs": 0, "Effect": "free",
+            "GiveUpUs": 2_000_000, "Group": "all", "LateWorth": 0.1, "Stream": False, "Worth": 2.0,
+        }],
+        "Contract": {
+            "AnswerSlackUs": 8000, "ColdFrom": 0.2, "ColdUs": 18_000_000, "DrainGraceUs": 250_000,
+            "FallMultiple": 2.5, "FallUs": 1_000_000,
+        },
+        "LoadInfo": {"Columns": [], "How": "none"},
+        "Specifics": {
+            "AttachedTo": [0, 0], "ClassWrite": [False], "ClientKbPerS": 5000.0, "GraceForUs": [0],
+            "InPieces": [True], "LinkInKbPerS": [0.0, 90_000.0], "MasterKind": 2, "MaxAgeUs": [0],
+            "MayPassBy": True, "ParentBreaksAt": 2.0, "ParentRampUs": 19_000_000, "PurgeSlackUs": 500_000,
+            "PurgeTakesUs": 6_000_000, "Says": "all", "SharesFills": False, "ShieldKind": 1,
+            "Siblings": "location", "StaleEarns": [0.7], "UpperColdFrom": 0.1, "ZoneBalancers": [0, 1],
+        },
+    }  # fmt: skip
+    return {
+        "name": "lab", "listen": f"127.0.0.1:{world.port}", "seed": "a7",
+        "changelog": f"127.0.0.1:{world.log.port}",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "known": {"seq": 0, "results": []},
+        "settings": settings,
+    }  # fmt: skip
+
+
+def _spent(pid: int) -> float:
+    """Processor seconds of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+async def run_once(variant: Variant, requests: int, rate: float, seed: int) -> Cost:
+    """One run; ``RuntimeError`` where the router does not come up."""
+    world = World()
+    await world.start()
+    with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as folder:
+        config, log = Path(folder) / "config.json", Path(folder) / "log"
+        config.write_text(json.dumps(platform_json(world)))
+        environment = os.environ | {"EDGE_CONFIG": str(config)} | dict(variant.environment or {})
+        with log.open("wb") as file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "magpieshift", *variant.words, cwd=variant.folder, stderr=file,
+                env={name: value.replace("{folder}", folder) for name, value in environment.items()},
+            )  # fmt: skip
+        try:
+            for _ in range(1000):
+                if "event=ready" in log.read_text():
+                    break
+                await asyncio.sleep(0.01)
+            else:
+                raise RuntimeError(f"{variant.name} did not come up: {log.read_text()[-500:]}")
+            clients = [peers.Client(world.port, random.Random(seed + i), lambda: True) for i in range(4)]
+            loads = [asyncio.ensure_future(c.run(rate / len(clients), lambda: ["picture"])) for c in clients]
+            await asyncio.sleep(0.5)
+            before, sent = _spent(process.pid), sum(c.sent for c in clients)
+            while sum(c.sent for c in clients) - sent < requests:
+                await asyncio.sleep(0.02)
+            spent, done = _spent(process.pid) - before, sum(c.sent for c in clients) - sent
+            for client in clients:
+                client.settle()
+            await asyncio.gather(*loads)
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            peak = re.search(r"VmHWM:\s+(\d+) kB", status)
+            assert peak is not None
+            return Cost(
+                1e6 * spent / done, int(peak[1]) / 1024, done, sum(c.served for c in clients),
+                sum(c.lost for c in clients),
+            )  # fmt: skip
+        finally:
+            process.kill()
+            await process.wait()
+            world.stop()
+
+
+async def compare(
+    variants: Sequence[Variant], rounds: int, requests: int, rate: float
+) -> list[dict[str, Any]]:
+    """All variants in turn, so many rounds; a row each with the median and the spread."""
+    found: dict[str, list[Cost]] = {variant.name: [] for variant in variants}
+    for round_ in range(rounds):
+        for variant in variants:
+            found[variant.name].append(await run_once(variant, requests, rate, seed=100 * round_))
+    rows = []
+    for name, costs in found.items():
+        row: dict[str, Any] = {
+            "program": name,
+            "runs": len(costs),
+            "requests": sum(c.requests for c in costs),
+        }
+        for label, values in (
+            ("us a request", [c.us_a_request for c in costs]), ("peak MB", [c.peak_mb for c in costs]),
+        ):  # fmt: skip
+            row[label] = round(statistics.median(values), 2)
+            row[f"{label} from"], row[f"{label} to"] = round(min(values), 2), round(max(values), 2)
+        row["lost"] = sum(c.lost for c in costs)
+        rows.append(row)
+    return rows
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -163,6 +163,19 @@
         self.assertIn("is not what runs in back", report.findings[0])
 
 
+class Measurements(unittest.TestCase):
+    def test_they_run_and_give_figures(self) -> None:
+        """In small: the figures themselves are for the pages, not for a test."""
+        done = program("lab", "apply", "--members", "20", "--rounds", "2", "--json")
+        rows = {row["version changes"]: row for row in json.loads(done.stdout)}
+        self.assertEqual(set(rows), {"a figure", "classes", "zones anew", "none"})
+        self.assertGreater(rows["classes"]["apply p50 ms"], 0)
+        words = ["lab", "cost", "--rounds", "1", "--requests", "50", "--rate", "200", "--json"]
+        (row,) = json.loads(program(*words).stdout)
+        self.assertGreater(row["us a request"], 0)
+        self.assertEqual(row["lost"], 0)
+
+
 class CommandLine(FolderCase):
     def test_the_platforms_run_imports_none_of_what_others_need(self) -> None:
         found = f"print([m for m in {HEAVY} if m in sys.modules])"
