--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build test lint run proto clean
+.PHONY: build test lint run proto demo clean
 
 build: $(BIN)/pytest
 
@@ -25,8 +25,13 @@
 clean:
 	rm -rf .venv .venv-ci build .mypy_cache .ruff_cache .pytest_cache .hypothesis
 
-# After a change of the control channel's messages.
+# After a change of the control channel's messages or a capture's records.
 proto: build
 	$(BIN)/pip -q install --disable-pip-version-check -e '.[proto]'
-	$(BIN)/python -m grpc_tools.protoc -Imagpieshift/control/wire --python_out=magpieshift/control/wire \
-		--pyi_out=magpieshift/control/wire magpieshift/control/wire/control.proto
+	for each in control capture; do $(BIN)/python -m grpc_tools.protoc -Imagpieshift/$$each/wire \
+		--python_out=magpieshift/$$each/wire --pyi_out=magpieshift/$$each/wire \
+		magpieshift/$$each/wire/$$each.proto; done
+
+# For a first look: a router amid stand-ins that fail, and a report of what came of it.
+demo: build
+	$(BIN)/magpieshift lab demo
--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -183,8 +183,8 @@
 
     def commit(self, prepared: Prepared, version: int) -> None:
         """Put a document in force, in one turn of the event loop, letting go of nothing that is open."""
-        prepared.commit()
         self.document, self.version = prepared.document, version
+        prepared.commit()
 
     @property
     def ending(self) -> bool:
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -4,31 +4,17 @@
 from __future__ import annotations
 
 import asyncio
-import difflib
 import sys
 from collections.abc import Sequence
 from typing import Any
 
 import click
 
+from magpieshift.cli import captures
+from magpieshift.cli.hinting import JSON, Hinting
 from magpieshift.cli.logs import setup
 from magpieshift.config import ConfigError
 
-
-class Hinting(click.Group):
-    """A group that hints at the word that was meant."""
-
-    def resolve_command(
-        self, ctx: click.Context, args: list[str]
-    ) -> tuple[str | None, click.Command | None, list[str]]:
-        word = args[0] if args else ""
-        if word and not word.startswith("-") and self.get_command(ctx, word) is None:
-            close = difflib.get_close_matches(word, self.list_commands(ctx), 1)
-            hint = f"did you mean {close[0]!r}?" if close else f"one of: {', '.join(self.list_commands(ctx))}"
-            raise click.UsageError(f"no such command {word!r}; {hint}", ctx)
-        return super().resolve_command(ctx, args)
-
-
 EXAMPLES = """\b
 Examples:
   magpieshift config check deploy/magpieshift.sexp
@@ -48,7 +34,6 @@
     "--log", "log_form", type=click.Choice(["pairs", "json"]), default="pairs", envvar="EDGE_LOG",
     help="Form of the log's lines.  [pairs]",
 )  # fmt: skip
-JSON = click.option("--json", "as_json", is_flag=True, help="For machines.")
 
 
 @cli.command(
@@ -59,13 +44,30 @@
 @click.option("--control", envvar="EDGE_CONTROL", default="", help="host:port of the control service.")
 @click.option("--name", envvar="EDGE_NAME", default="", help="Wins over the settings' name.")
 @click.option("--listen", envvar="EDGE_LISTEN", default="", help="Wins over the settings' listen.")
+@click.option("--capture", envvar="EDGE_CAPTURE", default="", help="Folder to record all decisions into.")
+@click.option(
+    "--capture-mb", envvar="EDGE_CAPTURE_MB", default=512, show_default=True, type=click.IntRange(64)
+)
+@click.option(
+    "--hash-key", envvar="EDGE_HASH_KEY", default="", help="File with a key to hash object ids under."
+)
 @LOG
-def run_(config: str, state: str, control: str, name: str, listen: str, log_form: str) -> None:
+def run_(
+    config: str,
+    state: str,
+    control: str,
+    name: str,
+    listen: str,
+    capture: str,
+    capture_mb: int,
+    hash_key: str,
+    log_form: str,
+) -> None:
     """Run an edge router, with versions kept and followed where it is told to."""
     from magpieshift.control.runner import Options, run
 
     setup(log_form)
-    options = Options(config, state, control, name, listen)
+    options = Options(config, state, control, name, listen, capture, capture_mb, hash_key)
     try:
         run(options)
     except OSError as err:
@@ -265,6 +267,10 @@
 @cli.group(cls=Hinting)
 def lab() -> None:
     """The laboratory: failures on purpose, on loopback, and what they show."""
+    import signal
+
+    # ended from outside, it still ends the routers that it has started
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab versions --count 1000 --invalid 0.2 --seed 7 --json")
@@ -309,34 +315,66 @@
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab cost --against ../earlier")
 @click.option("--against", default="", help="Folder of another checkout, measured in turn with this one.")
+@click.option(
+    "--capture", is_flag=True, help="Measure run with and without recording, in place of the bare program."
+)
+@click.option("--stuck", is_flag=True, help="Likewise, and with a disk that is stuck for 10 s.")
 @click.option("--rounds", default=5, show_default=True)
 @click.option("--requests", default=4000, show_default=True, help="In each run.")
 @click.option("--rate", default=400.0, show_default=True, help="Requests a second.")
 @JSON
-def cost(against: str, rounds: int, requests: int, rate: float, as_json: bool) -> None:
-    """Measure processor time a request and memory of the bare program."""
+def cost(
+    against: str, capture: bool, stuck: bool, rounds: int, requests: int, rate: float, as_json: bool
+) -> None:
+    """Measure processor time a request, memory and lateness of the event loop, of the bare program or of
+    run."""
     from pathlib import Path
 
     import magpieshift
     from magpieshift.cli import show
-    from magpieshift.lab.cost import Variant, compare
+    from magpieshift.lab.cost import Variant, compare, recording
 
     here = str(Path(magpieshift.__file__).parent.parent)
     variants = [Variant("this", here), *([Variant("other", against)] if against else [])]
+    if capture or stuck:
+        variants = recording(here, stuck)
     show.rows(asyncio.run(compare(variants, rounds, requests, rate)), as_json)
 
 
+@lab.command(epilog="\b\nExample:\n  magpieshift lab decisions --caches 4,12,100")
+@click.option("--caches", default="4,12,17,100,1000", show_default=True, help="Sizes of the zone.")
+@click.option("--requests", default=3000, show_default=True, help="In each run.")
+@click.option("--rounds", default=3, show_default=True)
+@JSON
+def decisions(caches: str, requests: int, rounds: int, as_json: bool) -> None:
+    """Measure what the decisions alone cost a request, by the number of caches in the zone."""
+    from magpieshift.cli import show
+    from magpieshift.lab.decisions import measure
+
+    sizes = [int(word) for word in caches.split(",") if word.isdecimal() and int(word) > 0]
+    if not sizes:
+        raise click.UsageError(f"--caches: found {caches!r}, expected numbers like 4,12")
+    show.rows(measure(sizes, requests, rounds), as_json)
+
+
+cli.add_command(captures.capture)
+cli.add_command(captures.replay)
+for command in (captures.episode, captures.report_, captures.demo):
+    lab.add_command(command)
+
+
 def run(args: Sequence[str]) -> int:
     """Run the command line; its exit code."""
     from magpieshift.control.sexp import Unusable
     from magpieshift.control.store import StoreError
 
+    unusable: tuple[type[Exception], ...] = (ConfigError, StoreError, Unusable, *captures.errors())
     try:
         cli.main(args=list(args), prog_name="magpieshift", standalone_mode=False)
     except click.UsageError as err:
         err.show()
         return 2
-    except (ConfigError, StoreError, Unusable) as err:
+    except unusable as err:
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     except click.ClickException as err:
--- a/magpieshift/control/runner.py
+++ b/magpieshift/control/runner.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from magpieshift.app import EdgeRouter, serve
 from magpieshift.config import Config, ConfigError, address, parse
@@ -20,6 +21,9 @@
 from magpieshift.control.sexp import Unusable
 from magpieshift.log import fields
 
+if TYPE_CHECKING:
+    from magpieshift.capture.recorder import Recorder
+
 log = logging.getLogger(__name__)
 
 SWITCH_S = 0.0005  # versions are read in a thread, which would hold the event loop up for 5 ms at a time
@@ -34,6 +38,9 @@
     control: str = ""  # host:port of the control service
     name: str = ""
     listen: str = ""
+    capture: str = ""  # the folder to record into
+    capture_mb: int = 512  # what it may take there
+    hash_key: str = ""  # a file with a key: object numbers become hashes under it
 
     @property
     def overrides(self) -> Overrides:
@@ -78,6 +85,16 @@
         self.router = EdgeRouter(Config(document, seed, known, ledger.in_force.number))
         self.keeper = Keeper(self.router, ledger, loaded.data, store, trouble, overrides)
         self._name = document.name
+        self.recorder: Recorder | None = None
+        if options.capture or options.hash_key:
+            from magpieshift.capture.attach import attach, keyed_hash  # its libraries, only where it is used
+            from magpieshift.capture.recorder import Limits
+
+            if options.hash_key:
+                self.router.engine.object_number = keyed_hash(options.hash_key)
+            if options.capture:
+                limits = Limits(budget=options.capture_mb << 20)
+                self.recorder = attach(self.router, options.capture, limits, bool(options.hash_key))
 
     def reload(self) -> None:
         """SIGHUP: the settings file is offered as a version."""
@@ -95,6 +112,8 @@
         """Serve until the router is stopped."""
         prepared(self)
         sys.setswitchinterval(SWITCH_S)
+        if self.recorder is not None:
+            self.recorder.start()
         self.keeper.start()
         client = None
         if self._options.control:
@@ -113,6 +132,8 @@
             await asyncio.wait([ending])
             if client is not None:
                 await client.stop()
+            if self.recorder is not None:
+                self.recorder.stop()
 
     async def _end_with(self) -> None:
         """Nothing else changes while the router drains."""
--- a/magpieshift/control/sexp.py
+++ b/magpieshift/control/sexp.py
@@ -89,7 +89,7 @@
     return text if len(text) <= 60 else text[:57] + "..."
 
 
-def read(text: str, source: str = "document") -> Tree:
+def read(text: str, source: str = "document", wanted_head: str = HEAD) -> Tree:
     """The one form of a text as a tree; ``Unusable`` where it has none, several, or one that makes no
     sense."""
     if len(text) > MOST_TEXT:
@@ -109,8 +109,8 @@
         raise Unusable([Problem(source, 1, f"{len(forms)} forms", "one form (magpieshift ...)")])
     reader = _Meaning(text, parser.starts, source)
     head, data = reader.name(forms[0], ()), reader.value(forms[0], ())
-    if head and head != HEAD:
-        reader.wrong(forms[0], (), shown(head), f"({HEAD} ...)")
+    if head and head != wanted_head:
+        reader.wrong(forms[0], (), shown(head), f"({wanted_head} ...)")
     if not isinstance(data, dict):
         reader.wrong(forms[0], (), shown(data), "entries, each in brackets")
     if reader.problems:
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -46,6 +46,17 @@
     def close_idle(self, member: Member) -> None: ...
 
 
+class Tap(Protocol):
+    """Who stands between the engine and the module, and hands on what passes as it is
+    (``capture.recorder``)."""
+
+    def handle(self, module: Router, now_us: int, events: Sequence[api.Event]) -> list[api.Action]: ...
+
+    def name(self, number: int, ident: str) -> None: ...
+
+    def retuned(self, settings: api.Settings, fresh: Collection[int]) -> None: ...
+
+
 class _Open:
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
@@ -98,6 +109,8 @@
         self._events: list[api.Event] = []
         self._flush_due = False
         self._last_op = self._module_us = 0
+        self.tap: Tap | None = None
+        self.object_number: Callable[[str], int] = object_number
         self.open_requests = 0
         self.held = 0  # bytes of the bodies of open requests
 
@@ -127,9 +140,11 @@
             no = Answer(Verdict.REFUSED, retry_after_us=self._settings.max_retry_after_us)
             self._clock.soon(lambda: self._answer(request.op, no))
             return request.op
+        if self.tap is not None:
+            self.tap.name(request.op, call.ident)
         self._post(
             api.Request(
-                request.op, call.cls, 0, object_number(call.key), patience_us, call.size_kb,
+                request.op, call.cls, 0, self.object_number(call.key), patience_us, call.size_kb,
                 call.group, call.part, call.repeat, cls.write,
             )
         )  # fmt: skip
@@ -170,6 +185,8 @@
         def commit() -> None:
             self.flush()  # what has happened until now happened under the old settings
             retune(self._router, settings, classes.fresh)
+            if self.tap is not None:
+                self.tap.retuned(settings, classes.fresh)
             self._settings, self._plan, self._names = settings, classes, new.names
             self.classes.clear()
             self.classes.update(classes.numbers)
@@ -189,6 +206,10 @@
 
     # --- what the feed says
 
+    def store_names(self) -> list[tuple[int, str]]:
+        """The module's numbers of all listed stores, and their ids."""
+        return [(number, member.ident) for number, member in self._members.items()]
+
     @property
     def listed(self) -> int:
         """How many stores are listed, of all zones."""
@@ -204,12 +225,14 @@
                 self._members.pop(member.entry.store, None)
             else:
                 self._members[member.entry.store] = member
+                if self.tap is not None:
+                    self.tap.name(member.entry.store, member.ident)
         self._post(api.StoreList(kind, version, tuple(m.entry for m in members)))
 
     def purged(self, key: str, group: int, made_us: int) -> None:
         """An object, or with no key a group, was purged at this time."""
         age = max(0, self._clock.now_us() - made_us)
-        self._post(api.Purged(object_number(key) if key else 0, group, age))
+        self._post(api.Purged(self.object_number(key) if key else 0, group, age))
 
     # --- the module
 
@@ -230,7 +253,7 @@
         # the clock may be set back, and the module is promised that its time never is
         self._module_us = max(self._module_us, self._clock.now_us())
         try:
-            actions = self._router.handle(self._module_us, events)
+            actions = self._decide(events)
         except Exception:
             log.exception("module raised", extra=fields(events=len(events)))
             self._answer_for_module(events)
@@ -242,6 +265,11 @@
                 log.exception("action failed", extra=fields(action=type(action).__name__))
                 self._answer_for_module([action])
 
+    def _decide(self, events: Sequence[api.Event]) -> list[api.Action]:
+        if self.tap is None:
+            return self._router.handle(self._module_us, events)
+        return self.tap.handle(self._router, self._module_us, events)
+
     def _taken_back(self, event: api.Event) -> bool:
         if not isinstance(event, api.Request):
             return False
@@ -255,7 +283,7 @@
         for event in events:
             if isinstance(event, api.StoreList | api.Purged):
                 try:
-                    actions += self._router.handle(self._module_us, [event])
+                    actions += self._decide([event])
                 except Exception:
                     log.exception("module raised again", extra=fields(event_type=type(event).__name__))
         return actions
--- a/magpieshift/lab/cost.py
+++ b/magpieshift/lab/cost.py
@@ -34,6 +34,51 @@
     folder: str
     words: Sequence[str] = ()
     environment: Mapping[str, str] | None = None
+    program: Sequence[str] = ("-m", "magpieshift")
+
+
+WATCHED = """
+import asyncio, os, sys, time
+from hdrh.histogram import HdrHistogram
+from magpieshift.capture import segments
+from magpieshift.cli.main import run
+from magpieshift.control import runner
+plain, late, stuck = runner.run, HdrHistogram(1, 60_000_000, 3), float(sys.argv[1])
+async def tick():
+    while True:
+        due = time.perf_counter() + 0.001
+        await asyncio.sleep(0.001)
+        late.record_value(max(1, int(1e6 * (time.perf_counter() - due))))
+def prepared(installation):
+    installation.ticking = asyncio.ensure_future(tick())
+    if stuck:
+        write, begun = segments.Segment.write, time.monotonic()
+        def slow(self, records):
+            if 2 < time.monotonic() - begun < 2 + stuck:
+                time.sleep(2 + stuck - (time.monotonic() - begun))
+            write(self, records)
+        segments.Segment.write = slow
+runner.run = lambda options: plain(options, prepared)
+code = run(sys.argv[2:])
+print(f"late={late.get_value_at_percentile(99.9)}", file=sys.stderr, flush=True)
+sys.exit(code)
+"""
+"""``run`` with a ticker on its event loop, and a disk that is stuck for so many seconds from the second
+on."""
+
+STUCK_S = 10.0
+
+
+def recording(folder: str, stuck: bool) -> list[Variant]:
+    """``run`` without recording and with it, and with a stuck disk if that is wanted."""
+    capture = {"EDGE_CAPTURE": "{folder}/capture"}
+    variants = [
+        Variant("not recording", folder, ("0", "run"), program=("-c", WATCHED)),
+        Variant("recording", folder, ("0", "run"), capture, ("-c", WATCHED)),
+    ]
+    if stuck:
+        variants.append(Variant("disk stuck", folder, (str(STUCK_S), "run"), capture, ("-c", WATCHED)))
+    return variants
 
 
 @dataclass(frozen=True)
@@ -45,6 +90,7 @@
     requests: int
     served: int
     lost: int
+    late_ms: float | None  # p99.9 of how late the event loop was, where a ticker is on it
 
 
 def platform_json(world: World) -> dict[str, Any]:
@@ -98,7 +144,7 @@
         environment = os.environ | {"EDGE_CONFIG": str(config)} | dict(variant.environment or {})
         with log.open("wb") as file:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "magpieshift", *variant.words, cwd=variant.folder, stderr=file,
+                sys.executable, *variant.program, *variant.words, cwd=variant.folder, stderr=file,
                 env={name: value.replace("{folder}", folder) for name, value in environment.items()},
             )  # fmt: skip
         try:
@@ -121,13 +167,17 @@
             status = Path(f"/proc/{process.pid}/status").read_text()
             peak = re.search(r"VmHWM:\s+(\d+) kB", status)
             assert peak is not None
+            process.terminate()
+            await asyncio.wait_for(process.wait(), 20)
+            late = re.search(r"^late=(\d+)", log.read_text(), re.M)
             return Cost(
                 1e6 * spent / done, int(peak[1]) / 1024, done, sum(c.served for c in clients),
-                sum(c.lost for c in clients),
+                sum(c.lost for c in clients), int(late[1]) / 1000 if late else None,
             )  # fmt: skip
         finally:
-            process.kill()
-            await process.wait()
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
             world.stop()
 
 
@@ -151,6 +201,8 @@
         ):  # fmt: skip
             row[label] = round(statistics.median(values), 2)
             row[f"{label} from"], row[f"{label} to"] = round(min(values), 2), round(max(values), 2)
+        late = [c.late_ms for c in costs if c.late_ms is not None]
+        row["loop late p99.9 ms"] = round(statistics.median(late), 2) if late else None
         row["lost"] = sum(c.lost for c in costs)
         rows.append(row)
     return rows
--- /dev/null
+++ b/magpieshift/lab/scenario.py
@@ -0,0 +1,144 @@
+"""What is to happen in an episode: a file of S-expressions, or one drawn from a seed."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path as FilePath
+from typing import Annotated, Any, Literal
+
+import numpy as np
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from magpieshift.control import sexp
+from magpieshift.control.sexp import Problem, Unusable
+
+HEAD = "scenario"
+Seconds = Annotated[float, Field(ge=0, le=86_400, allow_inf_nan=False)]
+What = Literal["die", "pause", "late-list", "slow", "lose", "reset", "drain", "purge"]
+
+
+class _Form(BaseModel):
+    model_config = ConfigDict(
+        extra="forbid", alias_generator=lambda n: n.replace("_", "-"), populate_by_name=True
+    )
+
+
+class FailureForm(_Form):
+    what: What
+    at_s: Seconds
+    for_s: Seconds = 0.0
+    who: str = ""  # a store's place: box1, hub2, origin
+    by: Annotated[float, Field(ge=0, le=60_000)] = 0.0  # slow: ms; lose: a share
+
+
+class ScenarioForm(_Form):
+    seconds: Annotated[float, Field(ge=1, le=86_400)]
+    seed: Annotated[int, Field(ge=0)] = 1
+    rate: Annotated[float, Field(gt=0, le=10_000)] = 120.0
+    boxes: Annotated[int, Field(ge=1, le=64)] = 4
+    hubs: Annotated[int, Field(ge=0, le=16)] = 2
+    objects: Annotated[int, Field(ge=1, le=1_000_000)] = 2_000
+    failures: dict[str, FailureForm] = {}
+
+
+@dataclass(frozen=True)
+class Failure:
+    """One thing that goes wrong, and for how long."""
+
+    name: str
+    what: str
+    who: str
+    at_s: float
+    for_s: float
+    by: float
+
+    def __str__(self) -> str:
+        words = [self.what, self.who] if self.who else [self.what]
+        return " ".join(words) + f" at {self.at_s:g} s" + (f" for {self.for_s:g} s" if self.for_s else "")
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """An installation, its load, and what goes wrong, by time."""
+
+    seconds: float
+    seed: int
+    rate: float
+    boxes: int
+    hubs: int
+    objects: int
+    failures: tuple[Failure, ...]
+
+    @property
+    def places(self) -> list[str]:
+        return [
+            *(f"box{i + 1}" for i in range(self.boxes)),
+            *(f"hub{i + 1}" for i in range(self.hubs)),
+            "origin",
+        ]
+
+
+def load(data: Mapping[str, Any], lines: Mapping[sexp.Path, int] | None = None) -> Scenario:
+    """A checked scenario; ``Unusable`` with all that is wrong."""
+    try:
+        form = ScenarioForm.model_validate(data)
+    except ValidationError as err:
+        raise Unusable(
+            [
+                Problem(
+                    " ".join(map(str, e["loc"])), (lines or {}).get(tuple(map(str, e["loc"])), 0),
+                    sexp.shown(e["input"]), str(e["msg"]).removeprefix("Input should be "),
+                )
+                for e in err.errors(include_url=False)
+            ]
+        ) from None  # fmt: skip
+    failures = [Failure(name, f.what, f.who, f.at_s, f.for_s, f.by) for name, f in form.failures.items()]
+    found = Scenario(
+        form.seconds, form.seed, form.rate, form.boxes, form.hubs, form.objects,
+        tuple(sorted(failures, key=lambda f: f.at_s)),
+    )  # fmt: skip
+    problems = [
+        Problem(f"failures {f.name} who", 0, sexp.shown(f.who), "one of " + ", ".join(found.places))
+        for f in failures
+        if f.what not in ("late-list", "purge") and f.who not in found.places
+    ]
+    if problems:
+        raise Unusable(problems)
+    return found
+
+
+def load_file(path: str) -> Scenario:
+    tree = sexp.read(FilePath(path).read_text(encoding="utf-8"), path, HEAD)
+    return load(tree.data, tree.lines)
+
+
+def bad_morning(seconds: float, seed: int, rate: float = 120.0) -> Scenario:
+    """Boxes die, a hub dies, the list runs late and the origin slows, all at once and again and again."""
+    rand = np.random.default_rng(seed)
+    failures: dict[str, Any] = {}
+    at, number = min(3.0, seconds / 6), 0
+    while at < seconds * 0.85:
+        length = float(rand.uniform(3.0, 6.0))
+        number += 1
+        box, hub = f"box{rand.integers(1, 5)}", f"hub{rand.integers(1, 3)}"
+        group: list[dict[str, Any]] = [
+            {"what": "late-list", "for-s": float(rand.uniform(1.0, 3.0))},
+            {"what": "die", "who": box, "for-s": length},
+            {"what": "slow", "who": "origin", "for-s": length, "by": float(rand.uniform(80, 300))},
+        ]
+        if rand.random() < 0.5:
+            group.append({"what": "die", "who": hub, "for-s": length})
+        other = f"box{rand.integers(1, 5)}"
+        if other != box:
+            what = str(rand.choice(["pause", "reset", "lose", "drain"]))
+            group.append({"what": what, "who": other, "for-s": float(rand.uniform(0.5, 2.0)), "by": 0.1})
+        group.append({"what": "purge"})
+        for i, failure in enumerate(group):
+            when = at + float(rand.uniform(0.0, 0.4))
+            failures[f"f{number}-{i}"] = failure | {
+                "at-s": round(when, 3),
+                "for-s": round(failure.get("for-s", 0.0), 3),
+            }
+        at += length + float(rand.uniform(3.0, 9.0))
+    return load({"seconds": seconds, "seed": seed, "rate": rate, "failures": failures})
--- /dev/null
+++ b/tests/capture/test_capture.py
@@ -0,0 +1,434 @@
+"""Capture and replay without sockets: the state as bytes, the records, the files, the recorder, the
+comparison."""
+
+import os
+import shutil
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magpieshift.capture import codec, cut, policy, segments, state, story
+from magpieshift.capture.recorder import MOST_PENDING, Limits, Recorder
+from magpieshift.capture.replay import Player, Replay, Result
+from magpieshift.capture.segments import CaptureError, Missing
+from magpieshift.capture.wire import capture_pb2 as wire
+from molecleat import interface as api
+from tests import test_properties as random_runs
+from tests.helpers import settings as make_settings
+from tests.real.exchange import PATIENCE_S, ROOT
+
+OWN = policy.own()
+HEADER = wire.Header(format=1, router="t", policy_digest=OWN.digest)
+SCRIPT = [("ask", 7 * i) if i % 3 else ("end", i) for i in range(60)] + [("wait", 500)]
+
+
+class Taped:
+    """A module with a recorder before it, in place of the bare one."""
+
+    def __init__(self, router: Any, recorder: Any) -> None:
+        self._router, self._recorder = router, recorder
+
+    def handle(self, now_us: int, events: Any) -> list[api.Action]:
+        found: list[api.Action] = self._recorder.handle(self._router, now_us, list(events))
+        return found
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._router, name)
+
+
+class Tape:
+    """Keeps what passes, and the state before each batch."""
+
+    def __init__(self) -> None:
+        self.batches: list[tuple[bytes, int, Any, list[api.Action]]] = []
+
+    def handle(self, router: Any, now_us: int, events: Any) -> list[api.Action]:
+        before = state.encode(state.snapshot(router))
+        actions: list[api.Action] = router.handle(now_us, events)
+        self.batches.append((before, now_us, events, list(actions)))
+        return actions
+
+
+def taped(script: list[tuple[str, int]], recorder: Any) -> Any:
+    """A random run, recorded."""
+    referee = random_runs.Referee()
+    router = referee.router
+    referee.router = Taped(router, recorder)  # type: ignore[assignment]
+    for name, pick in script:
+        getattr(referee, name)(pick)
+    return router
+
+
+class States(unittest.TestCase):
+    @given(random_runs.steps, st.integers(0, 1000))
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    def test_restored_anywhere_it_goes_on_as_if_it_had_never_stopped(
+        self, script: list[tuple[str, int]], at: int
+    ) -> None:
+        tape = Tape()
+        router = taped(script, tape)
+        if not tape.batches:
+            return
+        start = at % len(tape.batches)
+        again = state.restore(tape.batches[start][0], OWN)
+        for before, now_us, events, actions in tape.batches[start:]:
+            self.assertEqual(state.encode(state.snapshot(again)), before)
+            self.assertEqual(again.handle(now_us, events), actions)
+        self.assertEqual(state.encode(state.snapshot(again)), state.encode(state.snapshot(router)))
+
+    def test_what_was_one_object_is_one_again(self) -> None:
+        router = taped(SCRIPT, Tape())
+        again = state.restore(state.encode(state.snapshot(router)), OWN)
+        self.assertTrue(again.attempts)
+        for attempt in again.attempts.values():
+            self.assertIs(attempt.store, again.stores.get(attempt.store.entry.store, attempt.store))
+            self.assertIn(attempt.pace, [p for p in attempt.store.paces.values() if p is attempt.pace])
+        for cache in again.caches.values():
+            self.assertIs(cache, again.stores[cache.entry.store])
+
+    @given(st.binary(max_size=80), st.integers(0, 5000))
+    @settings(max_examples=80, deadline=None)
+    def test_bytes_that_are_no_state(self, noise: bytes, at: int) -> None:
+        whole = state.encode(state.snapshot(random_runs.Referee().router))
+        for data in (
+            noise,
+            whole[: at % len(whole)],
+            whole[: at % len(whole)] + noise + whole[at % len(whole) :],
+        ):
+            try:
+                state.restore(data, OWN)
+            except state.StateError:
+                continue
+
+    @given(random_runs.steps)
+    @settings(derandomize=True, max_examples=30, deadline=None)
+    def test_records_give_back_what_was_written(self, script: list[tuple[str, int]]) -> None:
+        tape, reader = Tape(), codec.Codec(OWN)
+        taped(script, tape)
+        for _, _, events, actions in tape.batches:
+            self.assertEqual([reader.event(codec.write_event(event)) for event in events], events)
+            for action in actions:
+                self.assertEqual(reader.recorded(codec.write_action(action)), reader.plain(action))
+
+    def test_an_object_of_number_zero_has_more_than_64_bits(self) -> None:
+        event = api.Purged(1 << 64, 0, 5)
+        self.assertEqual(codec.Codec(OWN).event(codec.write_event(event)), event)
+
+
+class FolderCase(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def recorder(self, **limits: Any) -> Recorder:
+        recorder = Recorder(
+            self.folder / "capture", wire.Header.FromString(HEADER.SerializeToString()), Limits(**limits)
+        )
+        recorder.start()
+        return recorder
+
+    def record(self, script: list[tuple[str, int]] = SCRIPT, **limits: Any) -> Recorder:
+        recorder = self.recorder(**limits)
+        taped(script, recorder)
+        recorder.stop()
+        return recorder
+
+    def read(self) -> Iterator[wire.Record | Missing]:
+        return segments.read(self.folder / "capture")
+
+    def replayed(self, **more: Any) -> Result:
+        return Replay(**more).run(self.read())
+
+    @staticmethod
+    def until(what: Callable[[], bool]) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while not what():
+            if time.monotonic() > end:
+                raise AssertionError("waited in vain")
+            time.sleep(0.005)
+
+
+class Recording(FolderCase):
+    def test_a_replay_decides_the_same(self) -> None:
+        recorder = self.record()
+        result = self.replayed()
+        self.assertEqual((result.differences, result.batches), (0, recorder.batches))
+        self.assertGreater(result.decisions, 40)
+        self.assertEqual(result.policies, {OWN.digest})
+
+    def test_segments_rotate_within_the_budget_and_each_replays_by_itself(self) -> None:
+        recorder = self.recorder(segment=10_000, segment_s=60.0, budget=40_000)
+        with mock.patch("magpieshift.capture.recorder.WAIT_S", 0.001):
+            referee = random_runs.Referee()
+            referee.router = Taped(referee.router, recorder)  # type: ignore[assignment]
+            for i in range(400):
+                referee.ask(i)
+                referee.end(i)
+                self.until(lambda: recorder._weight == recorder._taken)
+        recorder.stop()
+        paths = segments.files(self.folder / "capture")
+        self.assertGreater(int(paths[0].stem[-8:]), 1, "the oldest are gone")
+        self.assertLess(sum(path.stat().st_size for path in paths), 40_000)
+        for path in paths:
+            result = Replay().run(segments.read(path))
+            self.assertEqual((result.differences, result.skipped), (0, 0))
+            self.assertGreater(result.batches, 0)
+        self.assertEqual(self.replayed().differences, 0)
+
+    def test_a_module_that_raises_in_the_middle_of_a_batch(self) -> None:
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        router = referee.router
+        referee.router = Taped(router, recorder)  # type: ignore[assignment]
+        referee.ask(1)
+        odd = api.Request(99, 77, 0, 5, 10**6, 0.0, 1, 0, False, False)  # there is no class 77
+        good = api.Request(98, 0, 0, 5, 10**6, 0.0, 1, 0, False, False)
+        with self.assertRaises(IndexError):
+            referee.router.handle(referee.now, [good, odd])
+        referee.end(0)
+        recorder.stop()
+        result = self.replayed()
+        self.assertEqual((result.differences, result.raised), (0, 1))
+
+    def test_time_that_stands_still_and_goes_back(self) -> None:
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        referee.router = Taped(referee.router, recorder)  # type: ignore[assignment]
+        for i in range(5):
+            referee.ask(i)  # in one microsecond
+        referee.now -= 10_000
+        referee.deadline = dict.fromkeys(referee.deadline, referee.now + 10**9)
+        referee.router.handle(referee.now, [api.Purged(3, 1, 5)])
+        recorder.stop()
+        self.assertEqual(self.replayed().differences, 0)
+
+    def test_a_configuration_that_changes_in_the_middle(self) -> None:
+        from magpieshift.core.retune import retune
+
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        router = referee.router
+        referee.router = Taped(router, recorder)  # type: ignore[assignment]
+        for i in range(10):
+            referee.ask(i)
+        new = make_settings(*random_runs.CLASSES, joins_fills=True, drain_grace_us=0, max_attempts=2)
+        retune(router, new, frozenset({1}))
+        recorder.retuned(new, [1])
+        for i in range(20):
+            referee.ask(i)
+            referee.end(3 * i)
+        recorder.stop()
+        result = self.replayed()
+        self.assertEqual((result.differences, result.retunes), (0, 1))
+
+    def test_a_stuck_disk_costs_whole_batches_and_is_told(self) -> None:
+        """The loop goes on at once; memory is bounded; what follows begins with a keyframe."""
+        release, stuck = threading.Event(), threading.Event()
+        real = os.write
+
+        def write(file: int, data: bytes) -> int:
+            stuck.set()
+            release.wait(PATIENCE_S)
+            return real(file, data)
+
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        referee.router = Taped(referee.router, recorder)  # type: ignore[assignment]
+        with (
+            mock.patch("os.write", write),
+            self.assertLogs("magpieshift.capture.recorder", "WARNING") as logs,
+        ):
+            referee.ask(0)
+            self.until(stuck.is_set)
+            for i in range(MOST_PENDING):
+                referee.purge(i)
+                self.assertLess(recorder._weight - recorder._taken, MOST_PENDING + 10)
+            self.assertGreater(recorder.dropped, 0)
+            release.set()
+            self.until(lambda: recorder._weight == recorder._taken)
+            for i in range(30):
+                referee.ask(i)
+            recorder.stop()
+        result = self.replayed()
+        self.assertEqual((result.differences, recorder.gaps), (0, 1))
+        self.assertEqual(result.batches, recorder.batches)
+        self.assertRegex(result.missing[0], rf"{recorder.dropped} batches dropped")
+        self.assertEqual(len(logs.records), 2, logs.output)  # interrupted, goes on
+
+    def test_a_full_disk_is_told_once_and_recording_goes_on_when_there_is_room(self) -> None:
+        full = mock.patch("os.write", side_effect=OSError(28, "No space left on device"))
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        referee.router = Taped(referee.router, recorder)  # type: ignore[assignment]
+        with (
+            self.assertLogs("magpieshift.capture.recorder", "WARNING") as logs,
+            mock.patch("magpieshift.capture.recorder.RETRY_S", 0.01),
+        ):
+            with full:
+                referee.ask(0)
+                self.until(lambda: bool(recorder._failed))
+                for i in range(50):
+                    referee.ask(i)
+            self.until(lambda: not recorder._failed)
+            for i in range(20):
+                referee.end(i)
+            recorder.stop()
+        self.assertEqual(len([r for r in logs.records if "cannot be written" in r.message]), 1)
+        result = self.replayed()
+        self.assertEqual((result.differences, result.batches), (0, 20))
+
+
+class Files(FolderCase):
+    def damaged(self, change: Callable[[bytes], bytes]) -> Result:
+        self.record(SCRIPT * 3, segment_s=0.0)
+        (path, *_) = segments.files(self.folder / "capture")
+        path.write_bytes(change(path.read_bytes()))
+        result = self.replayed()
+        self.assertEqual(result.differences, 0)
+        return result
+
+    def test_a_torn_tail(self) -> None:
+        """As SIGKILL leaves it: what is whole replays."""
+        result = self.damaged(lambda data: data[:-9])
+        self.assertIn("torn off", result.missing[0])
+
+    def test_a_damaged_block_is_named_and_what_follows_replays_from_the_next_keyframe(self) -> None:
+        self.record(SCRIPT)
+        first = segments.files(self.folder / "capture")[0]
+        shutil.copy(first, self.folder / "copy")
+        self.record(SCRIPT)
+        data = bytearray(first.read_bytes())
+        data[len(data) // 2] ^= 4
+        first.write_bytes(data)
+        result = self.replayed()
+        self.assertEqual((result.differences, len(result.missing)), (0, 1))
+        self.assertEqual(result.batches, Replay().run(segments.read(self.folder / "copy")).batches)
+
+    @given(st.binary(max_size=60), st.integers(0, 10_000))
+    @settings(max_examples=80, deadline=None)
+    def test_bytes_of_any_kind(self, noise: bytes, at: int) -> None:
+        whole = segments.HEADER % 1 + segments.block([wire.Record(header=HEADER)] * 3)
+        at %= len(whole)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "x"
+            for data in (noise, whole[:at] + noise, whole[:at] + noise + whole[at:]):
+                path.write_bytes(data)
+                try:
+                    found = list(segments.read(path))
+                except CaptureError:
+                    continue
+                self.assertTrue(all(isinstance(r, Missing) or r == wire.Record(header=HEADER) for r in found))
+
+    def test_what_is_no_capture_or_of_another_format(self) -> None:
+        for name, text in (("a", b"GIF89a..."), ("b", segments.HEADER % 9)):
+            (self.folder / name).write_bytes(text)
+            with self.assertRaisesRegex(CaptureError, "expected"):
+                list(segments.read(self.folder / name))
+        with self.assertRaisesRegex(CaptureError, "no capture"):
+            list(segments.read(self.folder))
+
+
+class Comparing(FolderCase):
+    def altered(self, old: str, new: str, file: str = "control.py") -> policy.Policy:
+        """The module with one line changed, in a folder of its own."""
+        home = self.folder / "altered" / "molecleat"
+        shutil.copytree(ROOT / "molecleat", home, ignore=shutil.ignore_patterns("__pycache__"))
+        text = (home / file).read_text()
+        self.assertEqual(text.count(old), 1)
+        (home / file).write_text(text.replace(old, new))
+        return policy.load(str(self.folder / "altered"))
+
+    def test_the_same_module_from_another_folder_differs_in_nothing(self) -> None:
+        self.record()
+        result = self.replayed(against=policy.load(str(ROOT)))
+        self.assertEqual((result.differences, result.kinds), (0, {}))
+
+    def test_the_second_parent_never_used(self) -> None:
+        other = self.altered("heapq.nlargest(2, above", "heapq.nlargest(1, above")
+        self.assertNotEqual(other.digest, OWN.digest)
+        self.record([("ask", i) for i in range(0, 300, 3)] + [("end", i) for i in range(200)])
+        result = self.replayed(against=other)
+        self.assertGreater(result.differences, 0)
+        self.assertLess(result.differences, result.batches / 2)
+        lines = story.report(result, story.Names({21: "hub-a"}), self.read)
+        self.assertLess(len(lines), 60)
+        self.assertIn("by kind", lines[0])
+        self.assertTrue(any("what the module knew right before" in line for line in lines), lines)
+        self.assertTrue(any("parent, ready" in line and "fills" in line for line in lines), lines)
+
+    def test_an_altered_checkout_strays_and_is_called_back_by_a_keyframe(self) -> None:
+        self.record()
+        self.record()
+        other = self.altered("HOLD_SHARE = 0.5", "HOLD_SHARE = 0.05")
+        player = Replay(other)
+        result = player.run(self.read())
+        self.assertNotEqual(result.policies, {other.digest})
+        self.assertLessEqual(result.differences, 4)
+
+    def test_why_tells_a_requests_story(self) -> None:
+        recorder = self.recorder()
+        referee = random_runs.Referee()
+        referee.router = Taped(referee.router, recorder)  # type: ignore[assignment]
+        recorder.name(1, "00aa11bb22cc33dd")
+        referee.ask(4)
+        referee.end(8)
+        referee.end(0)
+        recorder.stop()
+        number = story.find_request(self.read, "00aa11bb22cc33dd")
+        lines = story.why(self.read, number)
+        self.assertTrue(any("asked for object" in line for line in lines), lines)
+        self.assertTrue(any("said: ask" in line or "said: get" in line for line in lines), lines)
+        self.assertTrue(any("attempt 0 at" in line for line in lines), lines)
+        with self.assertRaises(LookupError):
+            story.find_request(self.read, "nobody")
+
+    def test_a_part_cut_out_replays_like_the_whole(self) -> None:
+        self.record(SCRIPT * 4)
+        whole = [r.batch for r in self.read() if isinstance(r, wire.Record) and r.HasField("batch")]
+        start, end = whole[len(whole) // 3].now_us, whole[2 * len(whole) // 3].now_us
+        wanted = sum(1 for batch in whole if start <= batch.now_us <= end)
+        batches, size = cut.cut(self.read, self.folder / "part", start, end)
+        result = Replay().run(segments.read(self.folder / "part"))
+        self.assertEqual((batches, result.batches, result.differences), (wanted, wanted, 0))
+        self.assertEqual(size, (self.folder / "part").stat().st_size)
+        with self.assertRaises(CaptureError):
+            cut.cut(self.read, self.folder / "none", 0, 1)
+
+    def test_the_regression_captures_replay(self) -> None:
+        """Parts of past failures; a change of the policy that is meant to decide otherwise there records
+        anew."""
+        found = sorted((ROOT / "tests" / "capture" / "captures").glob("*.seg"))
+        self.assertTrue(found)
+        for path in found:
+            with self.subTest(path.name):
+                result = Replay().run(segments.read(path))
+                self.assertEqual((result.differences, result.missing), (0, []))
+                self.assertGreater(result.batches, 20)
+
+
+class Keyframes(FolderCase):
+    def test_a_keyframe_that_does_not_fit_is_a_difference(self) -> None:
+        """The check can fail: a state that differs in one running mean decides alike for a while."""
+        tape = Tape()
+        router = taped(SCRIPT, tape)
+        frame = wire.Record(keyframe=wire.Keyframe(state=tape.batches[0][0]))
+        player = Player(OWN)
+        player.keyframe(tape.batches[0][0])
+        router = player.router
+        router.fill_us[0] += 1.0
+        odd = wire.Record(keyframe=wire.Keyframe(state=player.state()))
+        result = Replay().run([frame, odd])
+        self.assertEqual(dict(result.kinds), {"other state at a keyframe": 1})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/capture/test_process.py
@@ -0,0 +1,153 @@
+"""Episodes with a real router's process: recorded, replayed, killed in the middle of a block."""
+
+import asyncio
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.capture import segments
+from magpieshift.capture.replay import Replay
+from magpieshift.control.sexp import Unusable
+from magpieshift.lab import episode, report, scenario
+from magpieshift.lab.emulator import Rules
+from tests.control.test_program import program
+from tests.real.exchange import ROOT
+
+KILLED = """
+import os, signal, sys, types
+from magpieshift.capture import segments
+from magpieshift.cli.main import run
+calls, fake = [0], types.SimpleNamespace(**vars(os))
+def torn(file, data):
+    calls[0] += 1
+    if calls[0] == 6:  # in the middle of a block
+        os.write(file, data[: len(data) // 2])
+        os.kill(os.getpid(), signal.SIGKILL)
+    return os.write(file, data)
+fake.write = torn
+segments.os = fake
+sys.exit(run(sys.argv[1:]))
+"""
+
+
+class Episodes(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.capture = str(self.folder / "capture")
+
+    async def test_a_bad_morning_keeps_the_rules_and_replays_the_same(self) -> None:
+        plan = scenario.bad_morning(6.0, seed=4, rate=60.0)
+        self.assertGreaterEqual({f.what for f in plan.failures}, {"die", "slow", "late-list", "purge"})
+        key = self.folder / "key"
+        key.write_text("0123456789abcdef0123")
+        outcome = await episode.play(plan, ["--capture", self.capture, "--hash-key", str(key)])
+        self.assertEqual(outcome.broken, {}, outcome.examples)
+        self.assertGreater(outcome.figures["served"], 100)
+        figures = json.loads(program("replay", self.capture, "--times", "3", "--json").stdout)
+        self.assertEqual((figures["differences"], figures["runs"], figures["missing"]), (0, 3, 0))
+        self.assertGreaterEqual(figures["requests"], outcome.figures["requests"] - 5)
+        self.assertTrue(figures["policy_as_recorded"])
+        self.assertEqual(program("capture", "verify", self.capture).returncode, 0)
+        keys = {
+            event.Request.key
+            for record in segments.read(self.capture)
+            if not isinstance(record, segments.Missing)
+            for event in record.batch.events
+            if event.HasField("Request")
+        }
+        self.assertGreater(
+            min(keys), 1 << 32, "ids of objects, which count from 1 here, are not in the capture"
+        )
+        altered = self.folder / "altered"
+        shutil.copytree(ROOT / "molecleat", altered / "molecleat")
+        control = altered / "molecleat" / "control.py"
+        text = control.read_text()
+        control.write_text(
+            text.replace("1 + peak)", "2 + 2 * peak)").replace("LEAST_CAP = 4", "LEAST_CAP = 1")
+        )
+        done = program("replay", self.capture, "--against", str(altered))
+        self.assertEqual(done.returncode, 1, done.stderr)
+        self.assertIn("by kind", done.stdout)
+        self.assertLess(len(done.stdout.splitlines()), 80)
+        saved = json.loads(episode.saved(outcome))
+        report.write(str(self.folder / "r.html"), {"one": saved, "two": saved})
+        self.assertIn("data:image/png;base64", (self.folder / "r.html").read_text())
+
+    async def test_killed_in_the_middle_of_a_block(self) -> None:
+        plan = scenario.load({"seconds": 20, "rate": 50})
+        command = (sys.executable, "-c", KILLED)
+        playing = asyncio.ensure_future(episode.play(plan, ["--capture", self.capture], program=command))
+        async with asyncio.timeout(30):
+            while not any("torn" in str(m) for m in self.missing()):
+                await asyncio.sleep(0.1)
+        playing.cancel()
+        await asyncio.wait([playing])
+        result = Replay().run(segments.read(self.capture))
+        self.assertEqual((result.differences, len(result.missing)), (0, 1))
+        self.assertGreater(result.batches, 10)
+
+    def missing(self) -> list[segments.Missing]:
+        try:
+            return [record for record in segments.read(self.capture) if isinstance(record, segments.Missing)]
+        except segments.CaptureError:
+            return []
+
+
+class Pieces(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_script(self) -> None:
+        self.assertEqual(scenario.bad_morning(60, 5), scenario.bad_morning(60, 5))
+        self.assertNotEqual(scenario.bad_morning(60, 5), scenario.bad_morning(60, 6))
+
+    def test_a_scenario_says_what_is_wrong_with_it(self) -> None:
+        for data, said in (
+            (
+                {"seconds": 5, "failures": {"a": {"what": "explode", "at-s": 1}}},
+                "failures a what: found 'explode'",
+            ),
+            (
+                {"seconds": 5, "failures": {"a": {"what": "die", "at-s": 1, "who": "box9"}}},
+                "expected one of box1",
+            ),
+            ({"seconds": -1, "colour": 3}, "seconds: found -1"),
+        ):
+            with self.assertRaises(Unusable) as caught:
+                scenario.load(data)
+            self.assertIn(said, str(caught.exception))
+
+    def test_the_checker_sees_what_breaks_a_rule(self) -> None:
+        rules = Rules()
+        rules.began("a", "s1")
+        rules.began("a", "s2")
+        rules.told_drain["s1"] = 0.0
+        rules.began("b", "s1")
+        rules.purged["7"] = 1000.0, 1000.0
+        rules.served("7", 999_000, 1000.4)  # asked for before the rule holds
+        rules.served("7", 1_000_500, 1002.0)  # a newer copy
+        rules.served("7", 999_000, 1002.0)
+        for ident in ("c", "d", "d"):
+            rules.ran(ident, "order", "s1")
+        rules.ran("c", "basket", "s1")  # whose repeats stores know by their key
+        self.assertEqual(rules.broken, {"second attempt": 1, "drain": 1, "purge": 1, "repeat": 1})
+
+    def test_the_command_line_says_what_cannot_be_read(self) -> None:
+        for words in (
+            ["replay", "/no/such"],
+            ["capture", "info", "README.md"],
+            ["replay", "x", "--against", "/"],
+        ):
+            done = program(*words)
+            self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+        done = subprocess.run(
+            [sys.executable, "-m", "magpieshift", "capture", "wy"], capture_output=True, text=True, cwd=ROOT
+        )
+        self.assertIn("did you mean 'why'?", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -54,6 +54,9 @@
     "crc32c",
     "hdrh",
     "numpy",
+    "zstandard",
+    "matplotlib",
+    "magpieshift.capture",
 )
 
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -31,7 +31,8 @@
     """Feeds a router and checks each action as it comes."""
 
     def __init__(self) -> None:
-        self.router, self.now, self.log = Router(CONFIG, 3), SECOND, []
+        self.router, self.now = Router(CONFIG, 3), SECOND
+        self.log: list[list[api.Action]] = []
         self.open: dict[int, api.Request] = {}
         self.deadline: dict[int, int] = {}
         self.legs: dict[int, int] = {}
