--- a/magpieshift/lab/emulator.py
+++ b/magpieshift/lab/emulator.py
@@ -12,7 +12,7 @@
 import contextlib
 import random
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -34,6 +34,10 @@
     keeps: int = 4_000
     cold_s: float = 4.0  # after a late start
     cold_factor: float = 3.0
+    size: float = 0.5  # the work it bears when warm, in sending times at once
+    cold_from: float = 0.3
+    fall_multiple: float = 2.5
+    work_s: float = 0.003  # the sending time of one part
 
 
 class Rules:
@@ -65,6 +69,13 @@
                 "drain", f"{ident} came to {store} {time.time() - told:.3f} s after its drain was told"
             )
 
+    def cold(self, store: str, work_s: float, bears_s: float) -> None:
+        """A store that started lately has been sent so much work within a second, and can bear so much."""
+        if work_s > bears_s:
+            self.broke(
+                "cold store", f"{store} was sent {work_s:.2f} s of work in 1 s, and bears {bears_s:.2f}"
+            )
+
     def ended(self, ident: str) -> None:
         self._out[ident] -= 1
         if not self._out[ident]:
@@ -105,6 +116,7 @@
         self._link_free = 0.0
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
+        self._lately: deque[float] = deque()  # when work came, within the last second, while it is cold
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, port: int = 0) -> None:
@@ -132,7 +144,7 @@
     def listing(self, phase: str = "SERVING") -> dict[str, object]:
         return {
             "id": self.ident, "host_port": f"127.0.0.1:{self.port}", "locality": self.zone,
-            "flavor": self.kind, "cell": self.cell, "phase": phase, "size": 4,
+            "flavor": self.kind, "cell": self.cell, "phase": phase, "size": self.figures.size,
             "up_since_ms": self.up_since_ms,
         }  # fmt: skip
 
@@ -164,6 +176,20 @@
         self._open.discard(writer)
         writer.close()
 
+    def _count(self) -> None:
+        """Work has come, from a client's request or a fill."""
+        age = time.time() - self.up_since_ms / 1000 if self.up_since_ms else self.figures.cold_s
+        if age >= self.figures.cold_s:
+            self._lately.clear()
+            return
+        now, figures = time.monotonic(), self.figures
+        self._lately.append(now)
+        while self._lately[0] < now - 1.0:
+            self._lately.popleft()
+        share = figures.cold_from + (1 - figures.cold_from) * max(0.0, age) / figures.cold_s
+        work_s = len(self._lately) * figures.work_s
+        self._rules.cold(self.ident, work_s, figures.fall_multiple * figures.size * share)
+
     def _factor(self) -> float:
         age = time.time() - self.up_since_ms / 1000 if self.up_since_ms else self.figures.cold_s
         return 1.0 if age >= self.figures.cold_s else self.figures.cold_factor
@@ -180,6 +206,7 @@
 
     async def _answer(self, ident: str, fields: Mapping[str, str], writer: asyncio.StreamWriter) -> None:
         self.asked += 1
+        self._count()
         self._rules.began(ident, self.ident)
         out = True
         try:
@@ -224,6 +251,7 @@
         """Another store fills from this one; None where that cannot be."""
         if not self.up:
             return None
+        self._count()
         await self._work(self.figures.fetch_ms, 0.9)
         if self.kind == "source":
             self._rules.fetches[by] = self._rules.fetches.get(by, 0) + 1
--- a/magpieshift/lab/episode.py
+++ b/magpieshift/lab/episode.py
@@ -68,7 +68,10 @@
     def _new(self, place: str, late: bool) -> Store:
         """A process for a place: new ids for all but the origin, whose restart the list does not show."""
         self._births += 1
-        kinds = {"box": ("shop", "box", Figures()), "hub": ("hub", "upper", Figures(slots=24, fetch_ms=10))}
+        kinds = {
+            "box": ("shop", "box", Figures()),
+            "hub": ("hub", "upper", Figures(slots=24, fetch_ms=10, fall_multiple=2.0)),
+        }
         origin = ("hub", "source", Figures(slots=16, serve_ms=14, fetch_ms=25))
         zone, kind, figures = kinds.get(place[:3], origin)
         ident = f"s-{place}-{self._births}"
@@ -163,6 +166,7 @@
             "kinds": ["box", "upper", "source"], "parent-kind": "upper", "origin-kind": "source",
             "classes": {"picture": picture, "basket": basket, "order": order}, "client-kb-per-s": 300,
             "stores": {"cold-ms": 4000, "cold-from": 0.3},
+            "parents": {"cold-ms": 4000, "cold-from": 0.3, "fall-multiple": 2},
         }  # fmt: skip
         return to_data(load_data(data).document)
 
--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -40,7 +40,7 @@
         return max(LOST_LEAST, self.mean + LOST_AT * self.deviation) if steady else math.inf
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Store:
     """A store as this router sees it: its listing, its health, and the fills it is the source of."""
 
@@ -74,7 +74,7 @@
         return self.slower * (drawn if self.slower > FULL_AT else min(1.0, drawn))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Job:
     """A request this router still owes an answer."""
 
@@ -95,7 +95,7 @@
     again_us: int = 0  # when to ask again for what another is filling
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Attempt:
     """An attempt in flight; it outlives its request, so that its slot comes back exactly once."""
 
--- a/tests/capture/test_process.py
+++ b/tests/capture/test_process.py
@@ -133,7 +133,10 @@
         for ident in ("c", "d", "d"):
             rules.ran(ident, "order", "s1")
         rules.ran("c", "basket", "s1")  # whose repeats stores know by their key
-        self.assertEqual(rules.broken, {"second attempt": 1, "drain": 1, "purge": 1, "repeat": 1})
+        rules.cold("s1", 0.4, 0.5)
+        rules.cold("s1", 0.6, 0.5)
+        wanted = ("second attempt", "drain", "purge", "repeat", "cold store")
+        self.assertEqual(rules.broken, dict.fromkeys(wanted, 1))
 
     def test_the_command_line_says_what_cannot_be_read(self) -> None:
         for words in (
