Test a version that comes into force while a router's process records

The change of settings in the middle of a capture was tested on a recorded module alone.

A real router records under load, SIGHUP brings a version in which one class comes and one goes, and the capture replays with one retune and no difference.

--- a/tests/capture/test_process.py
+++ b/tests/capture/test_process.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -11,11 +13,13 @@
 
 from magpieshift.capture import segments
 from magpieshift.capture.replay import Replay
+from magpieshift.control import sexp
 from magpieshift.control.sexp import Unusable
-from magpieshift.lab import episode, report, scenario
+from magpieshift.lab import episode, peers, report, scenario
 from magpieshift.lab.emulator import Rules
+from magpieshift.lab.world import World
 from tests.control.test_program import program
-from tests.real.exchange import ROOT
+from tests.real.exchange import PATIENCE_S, ROOT
 
 KILLED = """
 import os, signal, sys, types
@@ -95,6 +99,53 @@
         self.assertEqual((result.differences, len(result.missing)), (0, 1))
         self.assertGreater(result.batches, 10)
 
+    async def test_a_version_that_comes_into_force_in_the_middle(self) -> None:
+        """With requests before and after, and a class that goes while others stay."""
+        world = World()
+        await world.start()
+        start, log = world.write_settings(self.folder), self.folder / "log"
+        words = ["run", "--config", str(start), "--capture", self.capture]
+        with log.open("wb") as file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "magpieshift", *words, stderr=file, cwd=ROOT
+            )
+        client = peers.Client(world.port, random.Random(1), lambda: True)
+        try:
+            await self.says(log, "change applied")
+            load = asyncio.ensure_future(client.run(200, lambda: ["picture"]))
+            await self.served(client, 30)
+            data = world.settings()
+            del data["classes"]["basket"]
+            data["classes"] = {"film": data["classes"]["picture"]} | data["classes"]
+            start.write_text(sexp.write(data))
+            process.send_signal(signal.SIGHUP)
+            await self.says(log, "version in force")
+            await self.served(client, client.served + 30)
+            client.settle()
+            await load
+            process.terminate()
+            self.assertEqual(await process.wait(), 0)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            world.stop()
+        result = Replay().run(segments.read(self.capture))
+        self.assertEqual((result.retunes, result.differences, result.missing), (1, 0, []))
+        self.assertGreaterEqual(result.requests, 60)
+
+    @staticmethod
+    async def says(log: Path, text: str) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while text not in log.read_text():
+                await asyncio.sleep(0.01)
+
+    @staticmethod
+    async def served(client: peers.Client, count: int) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while client.served < count:
+                await asyncio.sleep(0.01)
+
     def missing(self) -> list[segments.Missing]:
         try:
             return [record for record in segments.read(self.capture) if isinstance(record, segments.Missing)]
