Tell refused clients a time to return that is still of use, spread at random

Cause: Router._end in molecleat/control.py gave every refusal max_retry_after_us. Change: w is drawn between now and the last moment at which a fill would be in the aim; past that, the longest wait. The floor of a source's cap is written from LEAST_CAP alone, which stands a router count of 0.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -14,8 +14,7 @@
 from molecleat.records import FEW, MASK, SMOOTH, Attempt, Job, Pace, Store, mix
 
 UNANSWERED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.MOOT)
-LEAST_CAP = 4  # the design's floor: fills in flight a source is always good for, from one of few routers
-LEAST_ALL = 16  # and from all of them together, though each keeps one: four times four, as designed for
+LEAST_CAP = 4  # the design's floor: fills in flight a source is good for, from each of as many routers
 PEAK_WINDOW_US = 10_000_000  # the design's memory of that peak
 BACKLOG = 1  # queue places for each unit of cap: a wait of about one fill, a longer one seldom pays
 HOLD_SHARE = 0.5  # of the time left: what may go into waiting at most, even where the aim would let it
@@ -183,8 +182,7 @@
         """Whether the answer can come within the aim, as slow as the store's hits have lately been."""
         slower = store.slower_beside(store.flying + 1)
         slower *= math.exp((store.hit_us - self.now) / RATE_US)  # a store without hits must not stay shut
-        expected = job.work_us * (1 + CAUTION * slower)
-        return expected <= job.cls.aim_us + job.cls.aim_stretch * job.work_us
+        return job.work_us * (1 + CAUTION * slower) <= job.cls.aim_us + job.cls.aim_stretch * job.work_us
 
     def _may_send(self, job: Job) -> bool:
         """Whether a further attempt is lawful and can still be answered."""
@@ -252,7 +250,7 @@
         """One more than the most fills in flight that came back well in the last ten seconds: with few
         each, doubling would outrun what the source can do. The floor is shared by all routers."""
         peak = source.peak[0] if self.now <= source.peak[1] + PEAK_WINDOW_US else 0
-        return max(1, min(LEAST_CAP, LEAST_ALL // self.cfg.routers), 1 + peak)
+        return max(min(LEAST_CAP, LEAST_CAP**2 // max(1, self.cfg.routers)), 1 + peak)
 
     def _send(self, job: Job, store: Store, source: Store | None) -> None:
         timeout, req = job.end_us - self.cfg.tick_us - self.now, job.req
@@ -425,7 +423,9 @@
         """The final answer: a refusal where it is lawful, else a failure."""
         by_all = job.cls.effect == Effect.KEYED and job.cls.scope == Scope.ALL
         harmless = by_all or job.cls.effect == Effect.FREE or (job.ran is None and job.out < 0)
-        no = api.Refuse(job.req.id, self.cfg.max_retry_after_us)
+        spare = job.due_us - self.fill_us[job.req.cls] - self.now  # in which coming back is still of use:
+        after = spare * self.random.random() if spare > 0 else self.cfg.max_retry_after_us  # not all at once
+        no = api.Refuse(job.req.id, int(after))
         self.actions.append(no if harmless else api.Fail(job.req.id))
         if job.out >= 0 and self.cfg.may_cancel:
             self.actions.append(api.Cancel(job.req.id, job.out))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -89,6 +89,11 @@
     return api.StoreList(api.ListKind.CACHED, 1, tuple(stores.values()))
 
 
+def refused(actions: list[api.Action], ident: int) -> bool:
+    """Whether this request, and nothing else, is turned away; when it may come back is told elsewhere."""
+    return [a.id if isinstance(a, api.Refuse) else a for a in actions] == [ident]
+
+
 class World:
     """A router and its clock; ``does`` keeps only the actions that are not timers."""
 
