Let requests wait only where their turn comes in time; try failed stores one at a time

Cause, molecleat/control.py: _blame paused a store for 1 s however often it had failed, _usable then let everything through again, and _next took FULL with 'source lost' for a mild refusal. _fill queued by number of places alone, whatever the time left: requests sat with a slow source until too late instead of going on to the next one. Ruled out: late answers of first tries (7 of 5,229), processor time, connections. Change: the pause grows with the share of failures, to 4 s, times 1 to 2 at random; after it one request at a time until what is tried comes back well. A request is queued only if its turn, by the mean fill and the cap, comes before its hold ends; this replaces the share of the time left. The hold never outlasts the request.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -16,8 +16,6 @@
 UNANSWERED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.MOOT)
 LEAST_CAP = 4  # the design's floor: fills in flight a source is good for, from each of as many routers
 PEAK_WINDOW_US = 10_000_000  # the design's memory of that peak
-BACKLOG = 1  # queue places for each unit of cap: a wait of about one fill, a longer one seldom pays
-HOLD_SHARE = 0.5  # of the time left: what may go into waiting at most, even where the aim would let it
 SPREAD = 2  # root-mean deviations over its part of what is in flight: above, a cache passes requests on
 COLD_CARE = 0.5  # of a cold store's budget at most: routers that have yet to hear of it use the rest
 COLD_SIGMAS = 3  # deviations of chance, when many routers send at random, that the budget must still cover
@@ -25,7 +23,7 @@
 STEADY, GROW = 0.03, 1.001  # mean sending time: its smoothing, hits it needs, its least grows anew
 CAUTION = 2  # the slowing seen counts double: what is sent now meets that of what is already on its way
 SHUN_AT = 0.4  # share of recent failures above which a store is passed over
-SHUN_US = 1_000_000  # a failing store's pause, renewed while what is then tried fails
+SHUN_US, MOST_SHUN = 1_000_000, 4  # a failing store's pause, longer while what is then tried fails
 SLUGGISH = 2.0  # by so many sending times slower than a median neighbour, a cache is left aside
 AGAIN, MOST_AGAIN = 0.1, 10.0  # answers taken for lost, for each good one, and saved up at most
 LOSSY, LOSS_SMOOTH, WELL = 0.005, 0.01, 0.2  # share lost from which late ones are, unless so much slower
@@ -148,13 +146,16 @@
         return self.now >= store.next_cold_us or self._cold_rate(store) == math.inf
 
     def _usable(self, store: Store) -> bool:
-        return store.entry.phase == Phase.READY and self.now >= store.shun_until
+        """A store that failed is asked one at a time until what is tried there comes back well."""
+        tried = store.bad > SHUN_AT and store.flying > 0
+        return store.entry.phase == Phase.READY and self.now >= store.shun_until and not tried
 
     def _blame(self, store: Store, weight: float) -> None:
         """One kind of evidence for every failure: refusals, errors and silence shift the same share."""
         store.bad += weight * (1 - store.bad)
-        if store.bad > SHUN_AT and self.now >= store.shun_until:
-            store.shun_until = self.now + SHUN_US
+        if store.bad > SHUN_AT and self.now >= store.shun_until:  # many routers must not try it all at once
+            pause = min(MOST_SHUN, SHUN_AT / (1 - store.bad)) * (1 + self.random.random())
+            store.shun_until = self.now + int(SHUN_US * pause)
             self._wake(store)
 
     def _request(self, req: api.Request) -> None:
@@ -179,9 +180,8 @@
         return self._send(job, cache, None)
 
     def _prompt(self, job: Job, store: Store) -> bool:
-        """Whether the answer can come within the aim, as slow as the store's hits have lately been."""
-        slower = store.slower_beside(store.flying + 1)
-        slower *= math.exp((store.hit_us - self.now) / RATE_US)  # a store without hits must not stay shut
+        """Whether the answer can come within the aim, as slow as its hits were; those of old fade."""
+        slower = store.slower_beside(store.flying + 1) * math.exp((store.hit_us - self.now) / RATE_US)
         return job.work_us * (1 + CAUTION * slower) <= job.cls.aim_us + job.cls.aim_stretch * job.work_us
 
     def _may_send(self, job: Job) -> bool:
@@ -235,12 +235,13 @@
             fit = source.entry.store not in job.failed and self._in_group(job, source)
             if not (fit and self._has_room(source) and (last or self._usable(source))):
                 continue
-            if source.fills == 0 or (source.fills < self._cap(source) and not source.queue):
+            cap = self._cap(source)
+            if source.fills == 0 or (source.fills < cap and not source.queue):
                 return self._send(job, cache or source, source)
-            if len(source.queue) < BACKLOG * self._cap(source) and self._cold_rate(source) == math.inf:
-                half = self.now + (job.end_us - self.now) * HOLD_SHARE
-                until = min(job.due_us - self.fill_us[job.req.cls], half)  # then a fill is still in its aim
-                job.held, job.hold_us = source, max(self.now, int(until))
+            until = int(min(job.due_us, job.end_us) - self.fill_us[job.req.cls])  # then a fill is in its aim
+            turn = self.now + self.fill_us[job.req.cls] * (len(source.queue) + 1) / cap
+            if turn <= until and len(source.queue) < cap and self._cold_rate(source) == math.inf:
+                job.held, job.hold_us = source, until
                 source.queue[job.req.id] = job
                 heapq.heappush(self.timers, (job.hold_us, job.req.id))
                 return
@@ -281,8 +282,7 @@
             source.fills += 1
 
     def _wake(self, source: Store) -> None:
-        """Let waiting fills go while there are slots, each judged anew, the newest first, as it has the best
-        chance of being in time; all of them if the source is down."""
+        """Let waiting fills go while there are slots, the newest first, each judged anew; all if down."""
         down = not self._usable(source)
         for job in list(reversed(source.queue.values())):
             if not down and (source.fills >= self._cap(source) or not self._has_room(source)):
@@ -320,8 +320,7 @@
             if ok or lost:
                 self.lost += LOSS_SMOOTH * (lost - self.lost)
         if source is not None and ok:
-            work, cfg = attempt.job.req.size_kb * self.us_per_kb or self.work_us[cls], attempt.job.cls
-            late = event.latency_us > cfg.aim_us + cfg.aim_stretch * work
+            late = event.latency_us > attempt.aim_us
             if late and attempt.job.req.size_kb:  # not just big: as good as timed out
                 source.peak = (0, 0)
             elif not late and (source.fills >= source.peak[0] or self.now > source.peak[1] + PEAK_WINDOW_US):
@@ -386,7 +385,8 @@
             if outcome != Outcome.MISS:
                 job.failed.add(culprit.entry.store)
                 soft = 0.0 if event.note == Note.NO_PLACE else SMOOTH  # it still serves what it holds
-                mute = outcome in UNANSWERED and culprit.heard_us <= attempt.sent_us
+                silent = outcome in UNANSWERED or (culprit is source and event.note == Note.SOURCE_LOST)
+                mute = silent and culprit.heard_us <= attempt.sent_us
                 self._blame(culprit, 0.5 if mute else soft if outcome == Outcome.FULL else 2 * SMOOTH)
             if source is not None and culprit is not store:
                 job.failed.add(source.entry.store)
--- a/tests/capture/test_capture.py
+++ b/tests/capture/test_capture.py
@@ -368,7 +368,7 @@
     def test_an_altered_checkout_strays_and_is_called_back_by_a_keyframe(self) -> None:
         self.record()
         self.record()
-        other = self.altered("HOLD_SHARE = 0.5", "HOLD_SHARE = 0.05")
+        other = self.altered("LEAST_CAP = 4", "LEAST_CAP = 2")
         player = Replay(other)
         result = player.run(self.read())
         self.assertNotEqual(result.policies, {other.digest})
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from molecleat import interface as api
-from molecleat.control import BACKLOG, LEAST_CAP, Router
+from molecleat.control import LEAST_CAP, Router
 from molecleat.interface import NEVER_RAN, Effect, Outcome, Phase
 from tests.helpers import CACHE, CACHES, PARENT, PARENTS, SECOND, a_class, entry, whole_list
 from tests.helpers import settings as make_settings
@@ -50,7 +50,7 @@
         for action in actions:
             self.check(action)
         for store in self.router.stores.values():
-            bound = BACKLOG * max([LEAST_CAP] + [1 + store.peak[0]])
+            bound = max(LEAST_CAP, 1 + store.peak[0])
             assert len(store.queue) <= max(bound, self.bounds.get(store.salt, 0))
             self.bounds[store.salt] = max(bound, len(store.queue))
             assert store.fills >= 0 and store.flying >= 0
