--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -6,6 +6,7 @@
 import contextlib
 import gc
 import logging
+import os
 import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
@@ -244,9 +245,13 @@
     await router.run(started)
 
 
-async def _run(config: Config, read: Callable[[], Config]) -> None:
+async def _run(config: Config, read: Callable[[], Config], traced: bool = False) -> None:
     """The platform's router: its configuration is a file, and has no versions."""
     router = EdgeRouter(config)
+    if traced:
+        from magpieshift.core.trace import Trace
+
+        router.engine.tap = Trace()
     reloads: asyncio.Queue[Document] = asyncio.Queue()
 
     def reload() -> None:
@@ -275,7 +280,9 @@
 
 def main(environ: Mapping[str, str] | None = None) -> int:
     """Run one edge router as the environment says; the process's exit code."""
-    setup()
+    environ = os.environ if environ is None else environ
+    traced = environ.get("EDGE_TRACE", "") == "1"
+    setup("DEBUG" if traced else "INFO")
     read = partial(load, environ)
     try:
         config = read()
@@ -283,7 +290,7 @@
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_run(config, read))
+        asyncio.run(_run(config, read, traced))
     except OSError as err:
         host, port = config.document.listen
         print(f"magpieshift: cannot listen on {host}:{port}: {err}", file=sys.stderr)
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -42,6 +42,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream = IOStream(sock, max_buffer_size=1 << 20, read_chunk_size=READ_SIZE)
+        log.debug("connecting", extra=fields(store=pool.ident))
         self._task = asyncio.ensure_future(self._run())
 
     @property
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -357,6 +357,28 @@
     show.rows(measure(sizes, requests, rounds), as_json)
 
 
+@lab.command(epilog="\b\nExample:\n  magpieshift lab fleet logs/")
+@click.argument("folder")
+@click.option("--stores", is_flag=True, help="A row a store in place of a row a second.")
+@JSON
+def fleet(folder: str, stores: bool, as_json: bool) -> None:
+    """Count what all routers of a fleet did together, from their logs (one file a router, run with
+    EDGE_TRACE=1)."""
+    from pathlib import Path
+
+    from magpieshift.cli import show
+    from magpieshift.lab import fleet as fleets
+
+    try:
+        counts = fleets.count(fleets.read(Path(folder)))
+    except ValueError as err:
+        raise ConfigError(str(err)) from err
+    show.rows(counts.store_rows() if stores else counts.rows(), as_json)
+    if not as_json:
+        for why, number in counts.refusals.most_common(10):
+            click.echo(f"refused after {why}: {number}")
+
+
 cli.add_command(captures.capture)
 cli.add_command(captures.replay)
 for command in (captures.episode, captures.report_, captures.demo):
--- /dev/null
+++ b/magpieshift/lab/fleet.py
@@ -0,0 +1,130 @@
+"""What a whole fleet did, counted from its routers' logs: one file a router, written with ``EDGE_TRACE=1``.
+
+Each router knows only itself, so what all of them do to one store together shows nowhere else.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+KINDS = ("asked", "refused", "failed", "left", "sent", "ended", "connecting", "listed")
+
+
+@dataclass(slots=True)
+class Line:
+    """One traced event of one router."""
+
+    at_s: float
+    router: str
+    event: str
+    pairs: dict[str, str]
+
+
+def read(folder: Path) -> list[Line]:
+    """All traced lines of a folder of logs, by their times; ``ValueError`` where there are none."""
+    lines = [line for path in sorted(folder.glob("*.log")) for line in _read(path)]
+    if not lines:
+        raise ValueError(f"{folder}: found no traced lines in *.log, expected logs of EDGE_TRACE=1")
+    return sorted(lines, key=lambda line: line.at_s)
+
+
+def _read(path: Path) -> Iterator[Line]:
+    with path.open(encoding="utf-8", errors="replace") as file:
+        for text in file:
+            pairs = dict(word.split("=", 1) for word in text.split() if "=" in word)
+            if pairs.get("event") not in KINDS or "time" not in pairs:
+                continue
+            try:
+                yield Line(float(pairs["time"]), path.stem, pairs["event"], pairs)
+            except ValueError:  # a line cut off by a router's end
+                continue
+
+
+@dataclass
+class _Request:
+    asked_s: float
+    last: str = "none sent"
+    out: tuple[str, str] = ("-", "-")  # the store asked last, and its source
+
+
+@dataclass
+class Counts:
+    """What was counted, by second since the first line."""
+
+    routers: int = 0
+    seconds: dict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    stores: dict[str, dict[int, Counter[str]]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(Counter))
+    )
+    refusals: Counter[str] = field(default_factory=Counter)  # by what came right before
+    gone_after_s: dict[str, float] = field(default_factory=dict)  # how long it was asked in vain
+
+    def rows(self) -> list[dict[str, object]]:
+        names = sorted({name for counter in self.seconds.values() for name in counter})
+        return [
+            {"second": at, **{name: self.seconds[at][name] for name in names}} for at in sorted(self.seconds)
+        ]
+
+    def store_rows(self) -> list[dict[str, object]]:
+        """A row a store: what it was asked in all, in its busiest second, and how that ended."""
+        found = []
+        for store, seconds in sorted(self.stores.items()):
+            total: Counter[str] = sum(seconds.values(), Counter())
+            most = max(counter["asked"] + counter["fills"] for counter in seconds.values())
+            found.append(
+                {
+                    "store": store, "asked": total["asked"], "fills": total["fills"], "most_a_second": most,
+                    "ok": total["ok"], "bad": total["bad"],
+                    "silent_for_s": round(self.gone_after_s.get(store, 0.0), 1),
+                }
+            )  # fmt: skip
+        return found
+
+
+def count(lines: Iterable[Line]) -> Counts:
+    """Count over all routers; lines come in the order of their times."""
+    counts, requests, start = Counts(), dict[tuple[str, str], _Request](), -1.0
+    routers, heard = set[str](), dict[str, float]()
+    for line in lines:
+        start = line.at_s if start < 0 else start
+        routers.add(line.router)
+        at, pairs = int(line.at_s - start), line.pairs
+        second, key = counts.seconds[at], (line.router, pairs.get("op", ""))
+        if line.event == "connecting":
+            second["connections"] += 1
+        elif line.event == "asked":
+            requests[key] = _Request(line.at_s)
+            second["asked"] += 1
+        elif key not in requests:
+            continue
+        elif line.event == "sent":
+            store, source = pairs["store"], pairs["source"]
+            filled = source not in ("-", store)
+            requests[key].out = store, source if filled else "-"
+            second["fills" if filled else "asks"] += 1
+            counts.stores[store][at]["asked"] += 1
+            if filled:
+                counts.stores[source][at]["fills"] += 1
+        elif line.event == "ended":
+            request, ok = requests[key], pairs["outcome"] == "ok"
+            request.last = f"{pairs['outcome']}/{pairs['note']}"
+            second[request.last] += 1
+            for store in request.out:
+                if store != "-":
+                    counts.stores[store][at]["ok" if ok or pairs["outcome"] == "miss" else "bad"] += 1
+                    if ok or (pairs["outcome"] == "miss" and store == request.out[0]):
+                        heard[store] = line.at_s
+                    else:
+                        silent = line.at_s - heard.get(store, start)
+                        counts.gone_after_s[store] = max(counts.gone_after_s.get(store, 0.0), silent)
+        else:
+            request = requests.pop(key)
+            second[line.event] += 1
+            if line.event == "refused":
+                held = "at once" if line.at_s - request.asked_s < 0.01 else "after waiting"
+                counts.refusals[f"{request.last} {held}"] += 1
+    counts.routers = len(routers)
+    return counts
--- /dev/null
+++ b/tests/real/test_fleet_logs.py
@@ -0,0 +1,69 @@
+"""What is traced of the decisions, and what is counted from it over a fleet."""
+
+from __future__ import annotations
+
+import logging
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.core.trace import Trace
+from magpieshift.lab import fleet
+from magpieshift.log import KeyValueFormatter
+from molecleat import interface as api
+from molecleat.control import Router
+from tests import helpers
+
+NAMES = {11: "box-a", 12: "box-b", 13: "box-c", 21: "hub-a", 22: "hub-b", 23: "hub-c", 31: "origin"}
+
+
+class Tracing(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.log = logging.getLogger("magpieshift.trace")
+        self.log.setLevel(logging.DEBUG)
+        self.addCleanup(self.log.setLevel, logging.NOTSET)
+
+    def router(self, number: int) -> None:
+        """A router whose fill fails at a parent, and whose second try there is refused."""
+        handler = logging.FileHandler(self.folder / f"n{number}.log")
+        handler.setFormatter(KeyValueFormatter())
+        self.log.addHandler(handler)
+        self.addCleanup(handler.close)
+        trace, offset = Trace(), 1 << 40  # stores' numbers are hashes, far above requests'
+        for store, ident in NAMES.items():
+            trace.name(store + offset, ident)
+        listed = api.StoreList(
+            api.ListKind.CACHED, 1,
+            tuple(helpers.entry(e.store + offset, e.kind) for e in helpers.whole_list().entries),
+        )  # fmt: skip
+        module = Router(helpers.settings(), number)
+        asked = api.Request(1, 0, 0, 5, 4 * helpers.SECOND, 100.0, 3, 0, False, False)
+        (sent, *_) = trace.handle(module, 1000, [listed, asked])
+        for leg, outcome in enumerate((api.Outcome.MISS, api.Outcome.ERROR)):
+            assert isinstance(sent, api.Get | api.Send)
+            note = api.Note.SOURCE_LOST if leg else api.Note.NONE
+            ended = api.Ended(1, outcome, 1000, 0, False, note, sent.store, leg, (0.5, 2.0))
+            (sent, *_) = trace.handle(module, 2000 + leg, [ended])
+        trace.handle(module, 5 * helpers.SECOND, [api.Elapsed(0), api.Purged(5, 0, 10), api.Hangup(9)])
+        self.log.removeHandler(handler)
+
+    def test_a_fleets_attempts_are_counted_together(self) -> None:
+        for number in range(3):
+            self.router(number)
+        counts = fleet.count(fleet.read(self.folder))
+        names, seconds = ("asked", "fills", "refused"), counts.seconds.values()
+        total = {name: sum(second[name] for second in seconds) for name in names}
+        self.assertEqual(counts.routers, 3)
+        self.assertEqual(total, {"asked": 3, "fills": 6, "refused": 3})
+        rows = {row["store"]: row for row in counts.store_rows()}
+        self.assertEqual(sum(int(str(row["fills"])) for row in rows.values()), 6)
+        self.assertEqual({row["bad"] for name, row in rows.items() if str(name).startswith("hub")} - {0}, {3})
+        self.assertEqual(sum(counts.refusals.values()), 3)
+
+    def test_logs_without_a_trace_are_named(self) -> None:
+        (self.folder / "n0.log").write_text("time=1.0 level=info event=ready\ntime=x event=asked op=1\n")
+        with self.assertRaisesRegex(ValueError, "found no traced lines"):
+            fleet.read(self.folder)
