Work a source harder only by fills that took at most 0.7 of their aim

Cause, molecleat/control.py: _settle took every fill within its aim as well borne and _cap then added one; forty routers together raise a source until its answers are late, each a fill's time after the others. Change: only a fill that took at most 0.7 of its aim raises the cap. Tests for odd fleets and lists (no parent, one cache or none, no router count, lists empty, repeated, out of order, silent on size and start) at 0, 1 and 40 routers.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -15,7 +15,7 @@
 
 UNANSWERED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.MOOT)
 LEAST_CAP = 4  # the design's floor: fills in flight a source is good for, from each of as many routers
-PEAK_WINDOW_US = 10_000_000  # the design's memory of that peak
+PEAK_US = 10_000_000  # the design's memory of that peak
 SPREAD = 2  # root-mean deviations over its part of what is in flight: above, a cache passes requests on
 COLD_CARE = 0.5  # of a cold store's budget at most: routers that have yet to hear of it use the rest
 COLD_SIGMAS = 3  # deviations of chance, when many routers send at random, that the budget must still cover
@@ -248,9 +248,9 @@
         return self._end(job)
 
     def _cap(self, source: Store) -> int:
-        """One more than the most fills in flight that came back well in the last ten seconds: with few
-        each, doubling would outrun what the source can do. The floor is shared by all routers."""
-        peak = source.peak[0] if self.now <= source.peak[1] + PEAK_WINDOW_US else 0
+        """One more than the most fills in flight that lately took at most 0.7 of their aim: with few each,
+        doubling would outrun the source, and all routers see it late. They share the floor."""
+        peak = source.peak[0] if self.now <= source.peak[1] + PEAK_US else 0
         return max(min(LEAST_CAP, LEAST_CAP**2 // max(1, self.cfg.routers)), 1 + peak)
 
     def _send(self, job: Job, store: Store, source: Store | None) -> None:
@@ -312,18 +312,18 @@
     def _settle(self, attempt: Attempt, event: api.Ended) -> None:
         """Give the slots back, once, and learn: a source is worked as hard as it answers in time."""
         source, cls, ok = attempt.source, attempt.job.req.cls, event.outcome == Outcome.OK
+        share = event.latency_us / max(1.0, attempt.aim_us)
         if ok or event.outcome == Outcome.TIMEOUT:
             self.again = min(MOST_AGAIN, self.again + AGAIN) if ok else self.again - 1
             lost = not ok and attempt.store.slower < WELL and attempt.heard_since()
             if not lost:  # what never came says nothing of how long answers take
-                attempt.pace.learn(event.latency_us / max(1.0, attempt.aim_us))
+                attempt.pace.learn(share)
             if ok or lost:
                 self.lost += LOSS_SMOOTH * (lost - self.lost)
         if source is not None and ok:
-            late = event.latency_us > attempt.aim_us
-            if late and attempt.job.req.size_kb:  # not just big: as good as timed out
+            if share > 1 and attempt.job.req.size_kb:  # not just big: as good as timed out
                 source.peak = (0, 0)
-            elif not late and (source.fills >= source.peak[0] or self.now > source.peak[1] + PEAK_WINDOW_US):
+            elif share < 0.7 and (source.fills >= source.peak[0] or self.now > source.peak[1] + PEAK_US):
                 source.peak = (source.fills, self.now)
             self.fill_us[cls] += SMOOTH * (event.latency_us - self.fill_us[cls])
         elif ok and event.note in (Note.NONE, Note.HIT):  # a hit is as slow as its cache, whatever fills do
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from molecleat import interface as api
 from molecleat.interface import Outcome
-from tests.helpers import PARENTS, SECOND, World, a_class, settings
+from molecleat.records import Job
+from tests.helpers import PARENTS, SECOND, World, a_class, entry, settings
 
 
 def fleet(size: int, *classes: api.RequestClass, **changes: object) -> list[World]:
@@ -71,3 +74,64 @@
                 sent = [world.fill(5, size_kb=10.0) for _ in range(max(1, min(4, 16 // size)) + 1)]
                 sources = {fill.source for fill in sent if isinstance(fill, api.Get)}
                 assert (len(sources) == 1) == waits
+
+
+def test_a_source_is_worked_harder_only_while_its_fills_leave_room_in_their_aim() -> None:
+    """All routers raise their caps until answers are late, and see it only after a fill's time."""
+    for size in (1, 4, 40):
+        for share, grows in ((0.4, True), (0.8, False)):
+            together = 0
+            for world in fleet(size, a_class(aim_us=SECOND, aim_stretch=0.0)):
+                for _ in range(6):
+                    room = world.router._cap(world.router.parents[PARENTS[0]])
+                    keys = [key for key in range(5, 200) if world.router._sources(_job(world, key))[0].salt
+                            == world.router.parents[PARENTS[0]].salt][:room]  # fmt: skip
+                    sent = [world.fill(key, size_kb=10.0) for key in keys]
+                    world.now += int(share * SECOND)
+                    for fill in sent:
+                        assert isinstance(fill, api.Get)
+                        took, cache = int(share * SECOND), fill.store
+                        ended = api.Ended(fill.id, Outcome.OK, took, 0, True, api.Note.FILLED, cache, 1, ())
+                        world.tell(ended)
+                together += world.router._cap(world.router.parents[PARENTS[0]])
+            floor = size * max(1, min(4, 16 // size))
+            assert (together > floor) == grows
+
+
+def _job(world: World, key: int) -> Job:
+    request = api.Request(0, 0, 0, key, SECOND, 10.0, 0, 0, False, False)
+    return Job(request, world.router.cfg.classes[0], 0, 0.0)
+
+
+def test_odd_fleets_raise_nothing_and_every_request_gets_one_answer() -> None:
+    """One cache or none, no parent, no router count, lists that are empty, repeated, out of order, or say
+    nothing of size and start."""
+    cache, parent, origin = entry(11, 0), entry(21, 1), entry(31, 2)
+    bare = [replace(e, weight=0.0, up_since_us=0) for e in (cache, parent, origin)]
+    new = [replace(e, weight=0.0, up_since_us=100 * SECOND) for e in (cache, parent)]
+    lists = ([], [cache], [cache, origin], [parent, origin], bare, [*new, origin], [origin, cache] * 2)
+    for routers, here in ((0, 0), (1, 1), (40, 7)):
+        for entries in lists:
+            for kind in (api.ListKind.FULL, api.ListKind.DELTA):
+                told = api.StoreList(kind, 1, tuple(entries))
+                older = api.StoreList(kind, 0, tuple(reversed(entries)))
+                world = World(settings(routers=routers, zone_routers=(0, here)), told)
+                world.tell(told)
+                world.tell(older)
+                answers, out = 0, {}
+                for _ in range(8):
+                    said = world.ask(size_kb=10.0)
+                    answers += sum(isinstance(a, api.Refuse | api.Fail) for a in said)
+                    out |= {a.id: a for a in said if isinstance(a, api.Get | api.Send)}
+                for _ in range(12):
+                    for sent in list(out.values()):
+                        leg = world.router.jobs[sent.id].legs - 1
+                        del out[sent.id]
+                        said = world.end(sent, Outcome.FULL, leg)
+                        answers += sum(isinstance(a, api.Refuse | api.Fail) for a in said)
+                        out |= {a.id: a for a in said if isinstance(a, api.Get | api.Send)}
+                    said = world.tell(api.Elapsed(0), after=SECOND)
+                    answers += sum(isinstance(a, api.Refuse | api.Fail) for a in said)
+                    out |= {a.id: a for a in said if isinstance(a, api.Get | api.Send)}
+                    out = {ident: a for ident, a in out.items() if ident in world.router.jobs}
+                assert answers == 8 and not world.router.jobs
