Never divide by the health of a store that has failed for ever

Seen on reading the change once more: Router._blame divided by 1 - bad, and after some 54 silent tries in a row, minutes with a dead store that stays listed, bad is exactly 1: the module would have raised.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -154,7 +154,7 @@
         """One kind of evidence for every failure: refusals, errors and silence shift the same share."""
         store.bad += weight * (1 - store.bad)
         if store.bad > SHUN_AT and self.now >= store.shun_until:  # many routers must not try it all at once
-            pause = min(MOST_SHUN, SHUN_AT / (1 - store.bad)) * (1 + self.random.random())
+            pause = SHUN_AT / max(SHUN_AT / MOST_SHUN, 1 - store.bad) * (1 + self.random.random())
             store.shun_until = self.now + int(SHUN_US * pause)
             self._wake(store)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -135,3 +135,13 @@
                     out |= {a.id: a for a in said if isinstance(a, api.Get | api.Send)}
                     out = {ident: a for ident, a in out.items() if ident in world.router.jobs}
                 assert answers == 8 and not world.router.jobs
+
+
+def test_a_store_that_stays_silent_for_ever_is_paused_for_a_bounded_time() -> None:
+    """Its share of failures comes to be exactly one, which nothing may be divided by."""
+    world = World()
+    store = world.router.parents[PARENTS[0]]
+    for _ in range(100):
+        world.now = world.router.now = max(world.now, store.shun_until)
+        world.router._blame(store, 0.5)
+    assert store.bad == 1.0 and store.shun_until - world.now <= 8 * SECOND
