--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -113,6 +113,7 @@
         """Another process of this router has come, or gone."""
         if sharing != self._sharing:
             self._sharing = sharing
+            self._engine.share(int(sharing))
             log.info("limits shared" if sharing else "limits not shared", extra=fields(**self._apply()))
 
     def _apply(self) -> dict[str, int]:
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -359,6 +359,19 @@
     show.rows(measure(sizes, requests, rounds), as_json)
 
 
+@lab.command(epilog="\b\nExample:\n  magpieshift lab handover --rounds 40")
+@click.option("--rounds", default=40, show_default=True, help="Handovers of each way.")
+@click.option("--clients", default=16, show_default=True, help="Threads that connect all the time.")
+@JSON
+def handover(rounds: int, clients: int, as_json: bool) -> None:
+    """Count connections lost while one listener takes an address over, by the way it is done."""
+    from magpieshift.cli import show
+    from magpieshift.lab.handover import OUTCOMES, measure
+
+    found = measure(rounds, clients)
+    show.rows([{"way": way} | {name: n[name] for name in OUTCOMES} for way, n in found.items()], as_json)
+
+
 @lab.command(epilog="\b\nExample:\n  magpieshift lab fleet logs/")
 @click.argument("folder")
 @click.option("--stores", is_flag=True, help="A row a store in place of a row a second.")
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -98,6 +98,7 @@
         names: Names = NO_NAMES,
     ) -> None:
         self._settings, self._clock, self._back, self.most_held = settings, clock, back, most_held
+        self._told, self._beside = settings, 0  # as the document says; other processes of this router
         self._names = names
         self._plan = first(names.classes or [str(i) for i in range(len(settings.classes))], settings.classes)
         self.classes = dict(
@@ -192,10 +193,8 @@
 
         def commit() -> None:
             self.flush()  # what has happened until now happened under the old settings
-            retune(self._router, settings, classes.fresh)
-            if self.tap is not None:
-                self.tap.retuned(settings, classes.fresh)
-            self._settings, self._plan, self._names = settings, classes, new.names
+            self._plan, self._names = classes, new.names
+            self._run_on(settings, classes.fresh)
             self.classes.clear()
             self.classes.update(classes.numbers)
             if relist:
@@ -209,9 +208,31 @@
         cfg = self._router.cfg
         if cfg is not self._settings:
             return {"module": "runs on other settings than the engine"}
+        cfg = self._told
         live = {name: cfg.classes[number] for name, number in self.classes.items()}
         return settings_by_name(cfg, self._names, live)
 
+    def share(self, beside: int) -> None:
+        """So many other processes of this router serve for now. The rules see all of them as one, so each
+        has its part of the router's part of what a cold store and a source bear: the module divides those by
+        the routers there are, and is told of so many times more."""
+        if beside != self._beside:
+            self.flush()
+            self._beside = beside
+            self._run_on(self._told, frozenset())
+
+    def _run_on(self, settings: api.Settings, fresh: frozenset[int]) -> None:
+        """Put settings in force, for the module and for what it is held to."""
+        self._told = settings
+        if self._beside:
+            times = 1 + self._beside
+            zones = tuple(n * times for n in settings.zone_routers)
+            settings = replace(settings, routers=settings.routers * times, zone_routers=zones)
+        retune(self._router, settings, fresh)
+        if self.tap is not None:
+            self.tap.retuned(settings, fresh)
+        self._settings = settings
+
     # --- what the feed says
 
     def store_names(self) -> list[tuple[int, str]]:
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -123,7 +123,7 @@
     def __init__(self, chop: int = 0, patient: bool = True, door: bool = False) -> None:
         self.chop, self._patient, self._door = chop, patient, door
         self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in LISTENERS}
-        self.port = self.console = free_port()
+        self.port = free_port()
         self.folder = tempfile.TemporaryDirectory()
         self.ports = {name: f"127.0.0.1:{s.getsockname()[1]}" for name, s in self.listeners.items()}
         self.config = Path(self.folder.name) / "config.json"
@@ -133,16 +133,17 @@
         self.old: subprocess.Popen[bytes] | None = None
         self.process = self._start()
 
-    def _start(self) -> subprocess.Popen[bytes]:
+    def env(self) -> dict[str, str]:
         env = {"EDGE_CONFIG": str(self.config), "EDGE_LISTEN": f"127.0.0.1:{self.port}", "EDGE_NAME": "n1"}
-        env["TMPDIR"] = self.folder.name
-        if self._door:
-            self.console = free_port()
-            env["EDGE_CONSOLE"] = f"127.0.0.1:{self.console}"
+        console = {"EDGE_CONSOLE": f"127.0.0.1:{self.console}"} if self._door else {}
+        return {**os.environ, **env, **console, "TMPDIR": self.folder.name}
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        self.console = free_port()
         started = self.written().count("event=ready")
         self.process = subprocess.Popen(
             [sys.executable, *(["-c", PATIENT] if self._patient else ["-m", "magpieshift"])],
-            env=os.environ | env,
+            env=self.env(),
             stderr=self.log,
             cwd=ROOT,
         )
--- a/tests/real/test_exchanges.py
+++ b/tests/real/test_exchanges.py
@@ -4,7 +4,7 @@
 import sys
 import unittest
 
-from tests.real.exchange import HERE, Program
+from tests.real.exchange import HERE, ROOT, Program
 
 
 class Exchanges(unittest.TestCase):
@@ -22,6 +22,16 @@
             with self.subTest(name), Program(chop=1) as program:
                 program.play(name)
 
+    def test_a_process_that_cannot_start_beside_another_leaves_it_as_it_was(self) -> None:
+        with Program(door=True) as program:
+            env = program.env() | {"EDGE_CONSOLE": f"127.0.0.1:{program.console}"}
+            done = subprocess.run(
+                [sys.executable, "-m", "magpieshift"], capture_output=True, text=True, env=env, cwd=ROOT
+            )
+            self.assertEqual(done.returncode, 1)
+            self.assertIn(f"magpieshift: cannot listen on 127.0.0.1:{program.console}: ", done.stderr)
+            program.play("hit")
+
     def test_no_recording_makes_the_program_trace_back(self) -> None:
         with Program() as program:
             program.play("bad_frame")
--- a/tests/real/test_operation.py
+++ b/tests/real/test_operation.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -20,8 +21,10 @@
 from magpieshift.front.frames import Code, Type, answer_head, head
 from magpieshift.lifecycle import CUT_US, LAST_CALL_US, SERVE_ON_US, Lifecycle, NotNow, State
 from magpieshift.streams import listen_socket, steer_to_second
+from molecleat import interface as api
 from tests.real import test_front
 from tests.real.exchange import ROOT, config
+from tests.real.test_engine import SECOND, EngineCase
 from tests.real.test_parts import PORTS
 
 
@@ -222,6 +225,27 @@
             self.assertEqual(alone.bytes_each, int(memory * (1 << 20) / 4))
 
 
+class Shared(EngineCase):
+    def test_two_processes_have_the_budgets_of_one_router(self) -> None:
+        """A cold store would have been sent twice this router's part of what it bears."""
+        document = parse(config(PORTS)).document
+        self.engine.prepare(document, document)()
+        router, told = self.engine._router, self.engine.running()
+        cold = replace(self.members[0].entry, up_since_us=self.clock.now - SECOND)
+        self.engine.list_changed(api.ListKind.DELTA, 2, [replace(self.members[0], entry=cold)])
+        self.clock.run()
+        (cache,) = router.caches.values()
+        alone = router._cold_rate(cache)
+        self.engine.share(1)
+        self.assertLess(2 * router._cold_rate(cache), 1.001 * alone)
+        self.assertEqual((router.cfg.routers, router.cfg.zone_routers), (4, (0, 4)))
+        self.assertEqual(self.engine.running(), told)  # the document in force is the same
+        self.engine.prepare(document, document)()
+        self.assertEqual(router.cfg.routers, 4)  # a reload does not forget the other process
+        self.engine.share(0)
+        self.assertEqual((router.cfg.routers, router._cold_rate(cache)), (2, alone))
+
+
 class NewSettings(unittest.TestCase):
     def test_nothing_is_taken_from_a_broken_file(self) -> None:
         """A deadline below zero was taken, with all its file's classes, and every request failed."""
