Let only a process that takes clients count as a successor; play new settings over sockets

Seen by reading: a process kept its "serves" lock until its end (claim.py), so with two upgrades in a row one that got SIGTERM while its own predecessor was still finishing would have taken that for its successor, said yes to the front and closed its listener with nobody behind it. A start that got SIGTERM while it waited for the change log still listened (app.py run). Now the lock follows the lifecycle, and an ending start does not listen. The claim's test fails without it.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -219,10 +219,8 @@
         """Take clients. Where operators can ask for us, we may replace another process, and be replaced: both
         listen, and what comes new is the later one's."""
         listener = listen_socket(*self.document.listen, shared=self._claim is not None)
-        if self._claim is not None:
-            if self._claim.another_lives:
-                steer_to_second(listener)
-            self._claim.serve()
+        if self._claim is not None and self._claim.another_lives:
+            steer_to_second(listener)
         self._front.listen_on(listener)
         self.lifecycle.served()
 
@@ -232,6 +230,8 @@
 
     def _changed(self, state: State) -> None:
         """The lifecycle went on."""
+        if self._claim is not None:
+            self._claim.serve(state == State.SERVING)
         self._look_round()
         if state == State.SERVING:
             pairs = {"version": self.version} if self.version else {}
@@ -273,7 +273,8 @@
             if self._claim is not None and self._claim.another_lives:
                 told = await self._feed.caught_up(CATCH_UP_S)
                 log.info("replacing another process", extra=fields(caught_up=told, seq=self._changes.last))
-            self._listen()
+            if not self.ending:  # it may have been told to while it waited
+                self._listen()
         except BaseException:
             tidying.cancel()
             self.close()
--- a/magpieshift/claim.py
+++ b/magpieshift/claim.py
@@ -31,15 +31,11 @@
         path = Path(folder or tempfile.gettempdir()) / "magpieshift-{}-{}.lock".format(*listen)
         try:
             self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
-            self._lock(LIVES)
+            fcntl.lockf(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, LIVES + os.getpid())
         except OSError as err:  # then we can't know of another, and run as if there were none
             log.warning("no claim", extra=fields(path=path, reason=err))
             self.close()
 
-    def _lock(self, at: int) -> None:
-        if self._file >= 0:
-            fcntl.lockf(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, at + os.getpid())
-
     def _another(self, at: int) -> bool:
         if self._file < 0:
             return False
@@ -51,9 +47,11 @@
             return False
         return bool(found[0] != fcntl.F_UNLCK)
 
-    def serve(self) -> None:
-        """Tell others that this process serves."""
-        self._lock(SERVES)
+    def serve(self, serving: bool) -> None:
+        """Tell others whether this process takes clients: one that empties is nobody's successor."""
+        if self._file >= 0:
+            kind = fcntl.LOCK_EX | fcntl.LOCK_NB if serving else fcntl.LOCK_UN
+            fcntl.lockf(self._file, kind, 1, SERVES + os.getpid())
 
     @property
     def another_lives(self) -> bool:
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -8,7 +8,8 @@
     term               SIGTERM         exit 0           the program must end, with this code
     replace            start a second process and wait until it is ready; then "old term" and so on: the first
     door+              call at the console; it is there in the recordings that call
-    hup LISTENER       SIGHUP; the file now has this listener as the change log, or with '-' cannot be read
+    hup LISTENER       SIGHUP; the file now has this listener as the change log, or with '-' cannot be read;
+                       settings may follow, as PATH=JSON without spaces
     says /PATTERN/     a line of the program's log must come
     pause 1.5          let at least so many seconds pass
 
@@ -89,6 +90,17 @@
     return data
 
 
+def changed(data: dict[str, Any], changes: dict[str, str]) -> dict[str, Any]:
+    """The configuration with other values, as JSON, at dotted paths of its settings."""
+    for path, value in changes.items():
+        at: Any = data["settings"]
+        *way, last = path.split(".")
+        for name in way:
+            at = at[int(name)] if isinstance(at, list) else at[name]
+        at[last] = json.loads(value)
+    return data
+
+
 class Peer:
     """A socket at the other end of the program's, and what it has sent but was not read yet."""
 
@@ -200,8 +212,10 @@
         if step == "term":
             return self.process.send_signal(signal.SIGTERM)
         if step.startswith("hup "):
-            ports = self.ports | {"log": self.ports.get(step[4:], "")}
-            self.config.write_text(json.dumps(config(ports)) if ports["log"] else "{")
+            _, listener, *changes = step.split()
+            ports = self.ports | {"log": self.ports.get(listener, "")}
+            settings = changed(config(ports), dict(change.split("=", 1) for change in changes))
+            self.config.write_text(json.dumps(settings) if ports["log"] else "{")
             return self.process.send_signal(signal.SIGHUP)
         if step.startswith("exit "):
             code = self.process.wait(PATIENCE_S)
--- a/tests/real/test_operation.py
+++ b/tests/real/test_operation.py
@@ -1,6 +1,7 @@
 """Lifecycle, the operators' door, the claim on the clients' address, and clients of a lame duck."""
 
 import asyncio
+import json
 import os
 import socket
 import subprocess
@@ -23,7 +24,7 @@
 from magpieshift.streams import listen_socket, steer_to_second
 from molecleat import interface as api
 from tests.real import test_front
-from tests.real.exchange import ROOT, config
+from tests.real.exchange import ROOT, changed, config
 from tests.real.test_engine import SECOND, EngineCase
 from tests.real.test_parts import PORTS
 
@@ -175,18 +176,20 @@
             code = (
                 "import sys; from magpieshift.claim import Claim; c = Claim(('h', 1), sys.argv[1]);"
                 "print(c.another_lives, c.another_serves, flush=True); sys.stdin.readline();"
-                "c.serve(); print(flush=True); sys.stdin.readline()"
+                "c.serve(True); print(flush=True); sys.stdin.readline();"
+                "c.serve(False); print(flush=True); sys.stdin.readline()"
             )
-            mine.serve()
+            mine.serve(True)
             pipes: dict[str, Any] = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "text": True}
             with subprocess.Popen([sys.executable, "-c", code, folder], cwd=ROOT, **pipes) as other:
                 assert other.stdout is not None and other.stdin is not None
                 self.assertEqual(other.stdout.readline(), "True True\n")
                 self.assertEqual((mine.another_lives, mine.another_serves), (True, False))
-                other.stdin.write("\n")
-                other.stdin.flush()
-                other.stdout.readline()
-                self.assertTrue(mine.another_serves)
+                for serves in (True, False):  # who empties is nobody's successor, though it lives
+                    other.stdin.write("\n")
+                    other.stdin.flush()
+                    other.stdout.readline()
+                    self.assertEqual((mine.another_lives, mine.another_serves), (True, serves))
                 other.kill()
                 other.wait()
             self.assertFalse(mine.another_lives or mine.another_serves)
@@ -195,7 +198,7 @@
     def test_a_folder_that_cannot_be_written_is_told_and_stops_nothing(self) -> None:
         with self.assertLogs("magpieshift.claim", "WARNING"):
             claim = Claim(("h", 1), "/nowhere/at/all")
-        claim.serve()
+        claim.serve(True)
         self.assertFalse(claim.another_lives)
 
     def test_connections_go_to_the_second_listener_and_back_when_it_closes(self) -> None:
@@ -253,7 +256,7 @@
         for path in ("Classes.0.GiveUpUs", "Classes.1.AimUs", "Caps.MaxAttempts", "Caps.ConnectTimeoutUs"):
             for value in figures:
                 with self.subTest(path, value=value), self.assertRaisesRegex(ConfigError, path) as caught:
-                    parse(self.changed(path, value))
+                    parse(changed(config(PORTS), {path: json.dumps(value)}))
                 self.assertNotIn("\n", str(caught.exception))
         for path, value in (
             ("Classes.1.Name", "picture"), ("Classes.1.Name", "a,b"), ("Classes", []),
@@ -261,16 +264,7 @@
             ("Contract.ColdUs", float("inf")),
         ):  # fmt: skip
             with self.subTest(path, value=value), self.assertRaises(ConfigError):
-                parse(self.changed(path, value))
-
-    def changed(self, path: str, value: object) -> dict[str, Any]:
-        data = config(PORTS)
-        at: Any = data["settings"]
-        *way, last = path.split(".")
-        for name in way:
-            at = at[int(name)] if isinstance(at, list) else at[name]
-        at[last] = value
-        return data
+                parse(changed(config(PORTS), {path: json.dumps(value)}))
 
     def test_the_console_is_read_from_the_file_and_the_variable_wins(self) -> None:
         self.assertIsNone(parse(config(PORTS)).document.console)
