--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -359,6 +359,18 @@
     show.rows(measure(sizes, requests, rounds), as_json)
 
 
+@lab.command(epilog="\b\nExample:\n  magpieshift lab door --calls 500")
+@click.option("--calls", default=500, show_default=True)
+@click.option("--rate", default=300.0, show_default=True, help="Requests a second meanwhile.")
+@JSON
+def door(calls: int, rate: float, as_json: bool) -> None:
+    """Measure how long the operators' door takes to answer under load, with mute callers crowding it."""
+    from magpieshift.cli import show
+    from magpieshift.lab.door import measure
+
+    show.rows([asyncio.run(measure(calls, rate))], as_json)
+
+
 @lab.command(epilog="\b\nExample:\n  magpieshift lab handover --rounds 40")
 @click.option("--rounds", default=40, show_default=True, help="Handovers of each way.")
 @click.option("--clients", default=16, show_default=True, help="Threads that connect all the time.")
--- a/magpieshift/lab/cost.py
+++ b/magpieshift/lab/cost.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -15,7 +16,7 @@
 import statistics
 import sys
 import tempfile
-from collections.abc import Mapping, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -134,10 +135,9 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
-async def run_once(variant: Variant, requests: int, rate: float, seed: int) -> Cost:
-    """One run; ``RuntimeError`` where the router does not come up."""
-    world = World()
-    await world.start()
+@contextlib.asynccontextmanager
+async def started(variant: Variant, world: World) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
+    """A router's process that serves, and its log; ``RuntimeError`` where it does not come up."""
     with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as folder:
         config, log = Path(folder) / "config.json", Path(folder) / "log"
         config.write_text(json.dumps(platform_json(world)))
@@ -154,6 +154,19 @@
                 await asyncio.sleep(0.01)
             else:
                 raise RuntimeError(f"{variant.name} did not come up: {log.read_text()[-500:]}")
+            yield process, log
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+async def run_once(variant: Variant, requests: int, rate: float, seed: int) -> Cost:
+    """One run."""
+    world = World()
+    await world.start()
+    try:
+        async with started(variant, world) as (process, log):
             clients = [peers.Client(world.port, random.Random(seed + i), lambda: True) for i in range(4)]
             loads = [asyncio.ensure_future(c.run(rate / len(clients), lambda: ["picture"])) for c in clients]
             await asyncio.sleep(0.5)
@@ -174,11 +187,8 @@
                 1e6 * spent / done, int(peak[1]) / 1024, done, sum(c.served for c in clients),
                 sum(c.lost for c in clients), int(late[1]) / 1000 if late else None,
             )  # fmt: skip
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-            world.stop()
+    finally:
+        world.stop()
 
 
 async def compare(
