--- a/magpieshift/claim.py
+++ b/magpieshift/claim.py
@@ -51,7 +51,10 @@
         """Tell others whether this process takes clients: one that empties is nobody's successor."""
         if self._file >= 0:
             kind = fcntl.LOCK_EX | fcntl.LOCK_NB if serving else fcntl.LOCK_UN
-            fcntl.lockf(self._file, kind, 1, SERVES + os.getpid())
+            try:
+                fcntl.lockf(self._file, kind, 1, SERVES + os.getpid())
+            except OSError as err:  # it must not keep a planned end from beginning
+                log.warning("claim not changed", extra=fields(serving=serving, reason=err))
 
     @property
     def another_lives(self) -> bool:
--- a/tests/real/test_operation.py
+++ b/tests/real/test_operation.py
@@ -19,6 +19,7 @@
 from magpieshift.console import door
 from magpieshift.console.call import MOST_LINE, Call
 from magpieshift.core.model import Answer, Verdict
+from magpieshift.feed.client import FeedClient
 from magpieshift.front.frames import Code, Type, answer_head, head
 from magpieshift.lifecycle import CUT_US, LAST_CALL_US, SERVE_ON_US, Lifecycle, NotNow, State
 from magpieshift.streams import listen_socket, steer_to_second
@@ -228,6 +229,40 @@
             self.assertEqual(alone.bytes_each, int(memory * (1 << 20) / 4))
 
 
+class Successor(test_front.FrontCase):
+    async def test_what_waits_in_the_queue_is_taken_before_the_listener_closes(self) -> None:
+        """It was reset: 338 of 33,422 connections over 40 handovers (``magpieshift lab handover``)."""
+        listener = listen_socket("127.0.0.1", 0)
+        self.server.listen_on(listener)
+        address = listener.getsockname()
+        with socket.create_connection(address) as client:  # the loop has had no turn to accept it
+            self.server.leave()
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(address)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(client, head(Type.READY_ASKED, 1, b"\0"))
+            answer = await asyncio.wait_for(loop.sock_recv(client, 99), 20)
+            self.assertEqual(answer, head(Type.READY, 1, bytes((Code.REFUSED, 0))))
+            self.server.close_all()
+
+    async def test_a_successor_waits_until_the_change_log_has_told_all(self) -> None:
+        """A purge or drain between the two starts stands in the log alone."""
+        feed, loop = FeedClient(("127.0.0.1", 1), mock.Mock()), mock.Mock()
+        times = iter(range(0, 1000))
+        loop.time.side_effect = lambda: next(times) / 100  # each look at the clock takes 0.01 s
+        with (
+            mock.patch.object(asyncio, "get_running_loop", return_value=loop),
+            mock.patch.object(asyncio, "sleep", mock.AsyncMock()) as waits,
+        ):
+            self.assertFalse(await feed.caught_up(0.5))  # no answer: the start goes on all the same
+            feed.answered = True
+            feed.alive()
+            waits.reset_mock()
+            self.assertTrue(await feed.caught_up(5.0))
+            self.assertGreater(waits.await_count, 3)  # it told something just now, so there may be more
+
+
 class Shared(EngineCase):
     def test_two_processes_have_the_budgets_of_one_router(self) -> None:
         """A cold store would have been sent twice this router's part of what it bears."""
