--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import gc
 import logging
 import os
@@ -17,7 +18,6 @@
 from magpieshift.back.pool import Pool
 from magpieshift.clock import LoopClock
 from magpieshift.config import Config, ConfigError, Document, Limits, load, settings_by_name
-from magpieshift.control.transaction import NotPrepared, Part, Prepared, TurnedDown, prepare
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Member
 from magpieshift.core.numbers import aligned
@@ -27,6 +27,7 @@
 from magpieshift.lifecycle import LAST_CALL_US, Lifecycle, State
 from magpieshift.log import fields, setup
 from magpieshift.streams import listen_socket, steer_to_second
+from magpieshift.transaction import NotPrepared, Part, Prepared, TurnedDown, prepare
 from molecleat import interface as api
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
             "name": document.name,
             "listen": list(document.listen),
             "console": list(door) if door else None,
+            "members": dataclasses.asdict(document.members) if document.members else None,
         }
 
     def prepare(self, old: Document, new: Document) -> Callable[[], None]:
@@ -183,6 +185,8 @@
         self._stopping = asyncio.Event()
         self._limits = _Limits(document.limits, self.engine, self._front, self._pool)
         self._claim: Claim | None = None
+        self.committed: list[Callable[[Document, int], None]] = []  # told of each document put in force
+        self.calls: dict[str, Callable[[], str]] = {}  # what optional parts answer at the door
         # the engine last but one: it enters the module, which may send at once
         self.parts: list[Part] = [
             _AtStart(document), self._feed, self._pool, self._limits, self._front, self.engine,
@@ -211,7 +215,7 @@
 
             self._claim = Claim(self.document.listen)
             self._look_round()
-            self._door = Door(self.lifecycle)
+            self._door = Door(self.lifecycle, self.calls)
             self._door.open(self.document.console)
         self._feed.start()
 
@@ -255,6 +259,8 @@
         """Put a document in force, in one turn of the event loop, letting go of nothing that is open."""
         self.document, self.version = prepared.document, version
         prepared.commit()
+        for told in self.committed:
+            told(self.document, version)
 
     @property
     def ending(self) -> bool:
--- a/magpieshift/capture/replay.py
+++ b/magpieshift/capture/replay.py
@@ -18,7 +18,7 @@
 from magpieshift.capture.policy import Policy, own
 from magpieshift.capture.segments import Missing
 from magpieshift.capture.wire import capture_pb2 as wire
-from magpieshift.core.retune import retune
+from molecleat.retune import retune
 
 MOST_DIFFERENCES = 1000  # kept in full; all are counted
 MOST_NAMES = 100_000
--- a/magpieshift/cli/captures.py
+++ b/magpieshift/cli/captures.py
@@ -174,7 +174,7 @@
 
 
 def _scenario(file: str, seconds: float, seed: int, rate: float) -> Any:
-    from magpieshift.lab import scenario
+    from magpieshift.lab.experiments import scenario
 
     return scenario.load_file(file) if file else scenario.bad_morning(seconds, seed, rate)
 
@@ -220,8 +220,8 @@
     import json
     from pathlib import Path
 
-    from magpieshift.lab import episode as episodes
-    from magpieshift.lab import report as reports
+    from magpieshift.lab.experiments import episode as episodes
+    from magpieshift.lab.experiments import report as reports
 
     with _progress(scenario.seconds, progress) as bar:
         done = [0]
@@ -247,7 +247,7 @@
 @click.option("--out", default="report.html", show_default=True)
 def report_(runs: Iterable[str], out: str) -> None:
     """Put saved runs side by side in one HTML file."""
-    from magpieshift.lab import report as reports
+    from magpieshift.lab.experiments import report as reports
 
     try:
         reports.write(out, {name: reports.load(name) for name in runs})
--- /dev/null
+++ b/magpieshift/cli/fleet.py
@@ -0,0 +1,119 @@
+"""Commands on many routers: who is there, membership simulated, and the proving ground of processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from dataclasses import replace
+from typing import Any
+
+import click
+
+from magpieshift.cli.hinting import JSON
+from magpieshift.config import ConfigError, address
+
+PRINTED = ("name", "standing", "for_s", "address", "zone", "state", "program", "settings", "load", "why")
+
+
+@click.command(epilog="\b\nExample:\n  magpieshift members --console 127.0.0.1:6566")
+@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
+@click.option("--history", is_flag=True, help="The last changes of its view.")
+@JSON
+def members(console: str, history: bool, as_json: bool) -> None:
+    """Who is there, as one router sees it, and why it suspects whom."""
+    from magpieshift.cli import show
+
+    host, port = address(console, "console")
+
+    async def ask() -> str:
+        async with asyncio.timeout(3.0):
+            reader, writer = await asyncio.open_connection(host, port, limit=1 << 21)
+            writer.write(b"MEMBERS\n")
+            line = await reader.readline()
+            writer.close()
+            return line.decode().strip()
+
+    try:
+        line = asyncio.run(ask())
+    except (OSError, TimeoutError) as err:
+        raise ConfigError(f"{console}: no answer: {err or 'not within 3 s'}") from err
+    if not line.startswith("OK "):
+        raise ConfigError(f"{console}: found {line[:120]!r}, expected OK: is (members ...) set?")
+    found: dict[str, Any] = json.loads(line[3:])
+    if as_json:
+        return show.as_json(found)
+    rows = found["history"] if history else [
+        {name: row[name] for name in PRINTED} for row in found["members"]
+    ]  # fmt: skip
+    show.rows(rows, False)
+    alone = ", hears nobody" if found["isolated"] else ""
+    click.echo(
+        f"{found['own']}: view {found['view']} {found['digest']}, {found['here']} here{alone}; "
+        f"share {found['share']:.4f} of all, {found['zone_share']:.4f} of its zone"
+    )
+
+
+@click.command("members", epilog="\b\nExample:\n  magpieshift lab members --routers 8,50 --seed 1 --json")
+@click.option("--routers", default="8,50", show_default=True, help="Sizes of the fleet.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--minutes", default=2.0, show_default=True, help="Under loss and pauses, simulated.")
+@click.option("--loss", default=0.3, show_default=True, help="Share of datagrams lost meanwhile.")
+@click.option("--without", type=click.Choice(["health", "observers"]), help="An ablation.")
+@JSON
+def lab_members(
+    routers: str, seed: int, minutes: float, loss: float, without: str | None, as_json: bool
+) -> None:
+    """Membership on a simulated network: loss, pauses, deaths, a partition and its healing."""
+    from magpieshift.cli import show
+    from magpieshift.lab.experiments.members import play
+    from magpieshift.members.codec import encode
+    from magpieshift.members.detector import Tuning
+
+    tuning = Tuning(health=without != "health")
+    if without == "observers":
+        tuning = replace(tuning, watched=1, accusers=1)
+    rows = []
+    for size in (int(word) for word in routers.split(",")):
+        found = play(size, seed, minutes, loss, tuning=tuning, size=lambda datagram: len(encode(datagram)))
+        rows.append(vars(found))
+        if not as_json:
+            show.rows([vars(found)], False)
+    if as_json:
+        for row in rows:
+            click.echo(json.dumps(row))
+
+
+@click.command("fleet-run", epilog="\b\nExample:\n  magpieshift lab fleet-run paused --seed 2 --json")
+@click.argument("scenario", required=False)
+@click.option("--routers", default=0, help="In place of the scenario's.")
+@click.option("--seed", default=0, help="In place of the scenario's.")
+@click.option("--list", "listed", is_flag=True, help="The scenarios that need no file.")
+@click.option("--folder", default="", help="Where settings, logs and the verdict are left; else in /tmp.")
+@JSON
+def fleet_run(
+    scenario: str | None, routers: int, seed: int, listed: bool, folder: str, as_json: bool
+) -> None:
+    """Real router processes, and faults between and in them; exit code 1 if a rule was broken."""
+    import tempfile
+    from pathlib import Path
+
+    from magpieshift.lab.proving import run as runs
+    from magpieshift.lab.proving import scenario as scenarios
+
+    if listed:
+        for name, data in scenarios.KNOWN.items():
+            click.echo(f"{name}: {len(data.get('faults', {}))} faults in {data['seconds']} s")
+        return
+    if scenario is None:
+        raise click.UsageError("SCENARIO: found nothing, expected a file or one of --list")
+    known = scenario in scenarios.KNOWN
+    plan = scenarios.load(scenarios.KNOWN[scenario]) if known else scenarios.load_file(scenario)
+    plan = replace(plan, routers=routers or plan.routers, seed=seed or plan.seed)
+    where = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="fleet-run-"))
+    verdict = asyncio.run(runs.play(plan, where, (lambda line: None) if as_json else click.echo))
+    with contextlib.suppress(ImportError):
+        runs.plot(where)
+    click.echo(json.dumps(verdict | {"folder": str(where)}))
+    if verdict["rules_broken"] or verdict["left_running"]:
+        raise SystemExit(1)
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -11,6 +11,7 @@
 import click
 
 from magpieshift.cli import captures
+from magpieshift.cli import fleet as fleet_commands
 from magpieshift.cli.hinting import JSON, Hinting
 from magpieshift.cli.logs import setup
 from magpieshift.config import ConfigError
@@ -66,7 +67,7 @@
     log_form: str,
 ) -> None:
     """Run an edge router, with versions kept and followed where it is told to."""
-    from magpieshift.control.runner import Options, run
+    from magpieshift.installation.runner import Options, run
 
     setup(log_form)
     options = Options(config, state, control, name, listen, console, capture, capture_mb, hash_key)
@@ -114,8 +115,9 @@
 
 def _data(what: str, state: str) -> dict[str, Any]:
     """A document's data: a file's, or by its number that of a version kept."""
-    from magpieshift.control import runner, schema
+    from magpieshift.control import schema
     from magpieshift.control import store as stores
+    from magpieshift.installation import runner
 
     if state and what.isdecimal():
         for kept in reversed(stores.read(state).kept):
@@ -288,7 +290,7 @@
 ) -> None:
     """Send a real router numbered versions, break its connection, kill it, and check what it has in force."""
     from magpieshift.cli import show
-    from magpieshift.lab.versions import Plan, play
+    from magpieshift.lab.experiments.versions import Plan, play
 
     setup("pairs", "ERROR")
     report = asyncio.run(play(Plan(count, invalid, kills, breaks, rate, seed), progress=not as_json))
@@ -308,7 +310,7 @@
 def apply_(members: int, rounds: int, as_json: bool) -> None:
     """Measure how long versions take to come into force, and how long the event loop is held."""
     from magpieshift.cli import show
-    from magpieshift.lab.apply import measure
+    from magpieshift.lab.experiments.apply import measure
 
     setup("pairs", "ERROR")
     rows = asyncio.run(measure(members, rounds)).rows()
@@ -332,11 +334,10 @@
     run."""
     from pathlib import Path
 
-    import magpieshift
     from magpieshift.cli import show
-    from magpieshift.lab.cost import Variant, compare, recording
+    from magpieshift.lab.experiments.cost import Variant, compare, recording
 
-    here = str(Path(magpieshift.__file__).parent.parent)
+    here = str(Path(__file__).parents[2])
     variants = [Variant("this", here), *([Variant("other", against)] if against else [])]
     if capture or stuck:
         variants = recording(here, stuck)
@@ -351,7 +352,7 @@
 def decisions(caches: str, requests: int, rounds: int, as_json: bool) -> None:
     """Measure what the decisions alone cost a request, by the number of caches in the zone."""
     from magpieshift.cli import show
-    from magpieshift.lab.decisions import measure
+    from magpieshift.lab.experiments.decisions import measure
 
     sizes = [int(word) for word in caches.split(",") if word.isdecimal() and int(word) > 0]
     if not sizes:
@@ -366,7 +367,7 @@
 def door(calls: int, rate: float, as_json: bool) -> None:
     """Measure how long the operators' door takes to answer under load, with mute callers crowding it."""
     from magpieshift.cli import show
-    from magpieshift.lab.door import measure
+    from magpieshift.lab.experiments.door import measure
 
     show.rows([asyncio.run(measure(calls, rate))], as_json)
 
@@ -378,7 +379,7 @@
 def handover(rounds: int, clients: int, as_json: bool) -> None:
     """Count connections lost while one listener takes an address over, by the way it is done."""
     from magpieshift.cli import show
-    from magpieshift.lab.handover import OUTCOMES, measure
+    from magpieshift.lab.experiments.handover import OUTCOMES, measure
 
     found = measure(rounds, clients)
     show.rows([{"way": way} | {name: n[name] for name in OUTCOMES} for way, n in found.items()], as_json)
@@ -394,7 +395,7 @@
     from pathlib import Path
 
     from magpieshift.cli import show
-    from magpieshift.lab import fleet as fleets
+    from magpieshift.lab.experiments import fleet as fleets
 
     try:
         counts = fleets.count(fleets.read(Path(folder)))
@@ -406,6 +407,9 @@
             click.echo(f"refused after {why}: {number}")
 
 
+cli.add_command(fleet_commands.members)
+for command in (fleet_commands.lab_members, fleet_commands.fleet_run):
+    lab.add_command(command)
 cli.add_command(captures.capture)
 cli.add_command(captures.replay)
 for command in (captures.episode, captures.report_, captures.demo):
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -49,6 +49,18 @@
 NO_NAMES = Names((), (), (), ())
 
 
+@dataclass(frozen=True)
+class Members:
+    """How a router talks with the others of its fleet, where it does."""
+
+    fleet: str  # datagrams of another are dropped
+    listen: Address  # of its datagrams
+    advertise: Address  # where the others send them
+    seeds: tuple[Address, ...] = ()  # to join by
+    council: tuple[str, ...] = ()  # names of those who choose who deals out shares
+    alone: float = 1.0  # part of its share by the settings that a router uses whatever it hears
+
+
 @dataclass(frozen=True)
 class Document:
     """The settings of an installation, whichever reader they came through: the platform's JSON below, or an
@@ -63,6 +75,7 @@
     idle_us: int
     streams_per_connection: int
     console: Address | None = None  # where operators call; nowhere if there is none
+    members: Members | None = None  # None: it talks to no other router
 
 
 @dataclass(frozen=True)
--- a/magpieshift/console/door.py
+++ b/magpieshift/console/door.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -26,12 +26,13 @@
 class Door(TCPServer):
     """Listens for operators; owner of its listener and of all callers' connections."""
 
-    def __init__(self, lifecycle: Lifecycle) -> None:
+    def __init__(self, lifecycle: Lifecycle, more: Mapping[str, Callable[[], str]] | None = None) -> None:
         super().__init__(max_buffer_size=1 << 16, read_chunk_size=READ_SIZE)
         self._calls: dict[str, Callable[[], str]] = {
             "PING": lifecycle.ping,
             "LAMEDUCK": lifecycle.lame_duck,
             "REJOIN": lifecycle.rejoin,
+            **(more or {}),
         }
         self._callers: dict[IOStream, None] = {}  # in the order in which they came
 
--- a/magpieshift/control/__init__.py
+++ b/magpieshift/control/__init__.py
@@ -2,7 +2,7 @@
 channel.
 
 Nothing here is imported by a router that runs without it. ``sexp`` and ``schema`` read settings files,
-``ledger`` decides on versions, ``transaction`` carries one out, ``store`` keeps them, ``keeper`` joins these
-to a running router; ``session`` and ``client`` follow a control service, ``publisher`` and ``service`` are
-one.
+``ledger`` decides on versions, ``magpieshift.transaction`` carries one out, ``store`` keeps them, ``keeper``
+joins these to a running router; ``session`` and ``client`` follow a control service, ``publisher`` and
+``service`` are one.
 """
--- a/magpieshift/control/keeper.py
+++ b/magpieshift/control/keeper.py
@@ -22,8 +22,8 @@
 from magpieshift.control.ledger import Answer, Ledger, Offer, Reason, Record, State
 from magpieshift.control.schema import Loaded, to_data
 from magpieshift.control.store import Kept, Store, StoreError
-from magpieshift.control.transaction import NotPrepared, Prepared, Running
 from magpieshift.log import fields
+from magpieshift.transaction import NotPrepared, Prepared, Running
 
 log = logging.getLogger(__name__)
 
--- a/magpieshift/control/schema.py
+++ b/magpieshift/control/schema.py
@@ -9,14 +9,14 @@
 
 import difflib
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path as FilePath
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, StringConstraints, ValidationError
 
-from magpieshift.config import LEAST_SOCKETS, ConfigError, Document, Limits, Names, address
+from magpieshift.config import LEAST_SOCKETS, ConfigError, Document, Limits, Members, Names, address
 from magpieshift.control import sexp
 from magpieshift.control.sexp import Path, Problem, Unusable
 from molecleat.interface import Effect, RequestClass, Scope, Settings
@@ -114,6 +114,15 @@
     streams: Annotated[int, Field(ge=1, le=4096, strict=True)] = 32
 
 
+class MembersForm(_Form):
+    fleet: Word
+    listen: Word
+    advertise: Word | None = None
+    seeds: Words = []
+    council: Words = []
+    alone: Share = 1.0
+
+
 class DocumentForm(_Form):
     """A whole settings file."""
 
@@ -136,6 +145,7 @@
     purges: PurgesForm = PurgesForm()
     attempts: AttemptsForm = AttemptsForm()
     connections: ConnectionsForm = ConnectionsForm()
+    members: MembersForm | None = None
     retry_after_ms: Ms = 900.0
     tick_ms: SomeMs = 2.0
     client_kb_per_s: Amount = 0.0
@@ -216,6 +226,7 @@
     forms: dict[str, type[_Form]] = {
         "limits": LimitsForm, "stores": StoresForm, "parents": ParentsForm, "purges": PurgesForm,
         "attempts": AttemptsForm, "connections": ConnectionsForm, "zones": ZoneForm, "classes": ClassForm,
+        "members": MembersForm,
     }  # fmt: skip
     form = forms[path[0]] if path else DocumentForm
     return [name.replace("_", "-") for name in form.model_fields]
@@ -229,6 +240,16 @@
             address(text, name)
         except ConfigError:
             yield (name,), sexp.shown(text), "host:port"
+    if (members := form.members) is not None:
+        told = [("listen", members.listen), ("advertise", members.advertise or members.listen)]
+        for key, text in [*told, *(("seeds", seed) for seed in members.seeds)]:
+            try:
+                address(text, key)
+            except ConfigError:
+                yield ("members", key), sexp.shown(text), "host:port"
+        if members.alone < 1.0 and len(members.council) % 2 == 0:
+            found = f"{len(members.council)} names"
+            yield ("members", "council"), found, "an odd number of routers' names, as alone is less than 1"
     zones, kinds = list(form.zones), form.kinds
     if form.zone not in form.zones:
         yield ("zone",), sexp.shown(form.zone), f"one of the zones: {', '.join(zones[:8])}"
@@ -310,6 +331,18 @@
         idle_us=_us(form.connections.idle_ms),
         streams_per_connection=form.connections.streams,
         console=address(form.console, "console") if form.console is not None else None,
+        members=_members(form.members) if form.members is not None else None,
+    )
+
+
+def _members(form: MembersForm) -> Members:
+    return Members(
+        fleet=form.fleet,
+        listen=address(form.listen, "listen"),
+        advertise=address(form.advertise or form.listen, "advertise"),
+        seeds=tuple(address(seed, "seeds") for seed in form.seeds),
+        council=tuple(form.council),
+        alone=form.alone,
     )
 
 
@@ -340,6 +373,20 @@
     return int(value) if math.isfinite(value) and value == int(value) else value
 
 
+def _members_data(members: Members) -> dict[str, Any]:
+    def words(values: Sequence[str]) -> Any:
+        return values[0] if len(values) == 1 else list(values)
+
+    return {
+        "fleet": members.fleet,
+        "listen": "{}:{}".format(*members.listen),
+        "advertise": "{}:{}".format(*members.advertise),
+        **({"seeds": words(["{}:{}".format(*seed) for seed in members.seeds])} if members.seeds else {}),
+        **({"council": words(members.council)} if members.council else {}),
+        "alone": _number(members.alone),
+    }
+
+
 def to_data(document: Document) -> dict[str, Any]:
     """The data of a document, whichever reader it came through; read again it gives an equal document."""
     s, names = document.settings, document.names
@@ -350,6 +397,7 @@
         "name": document.name,
         "listen": "{}:{}".format(*document.listen),
         **({"console": "{}:{}".format(*document.console)} if document.console else {}),
+        **({"members": _members_data(document.members)} if document.members else {}),
         "change-log": "{}:{}".format(*document.changelog),
         "limits": {"memory-mb": _number(document.limits.memory_mb), "sockets": document.limits.sockets},
         "zone": names.zones[s.zone],
--- a/magpieshift/control/session.py
+++ b/magpieshift/control/session.py
@@ -13,8 +13,8 @@
 from magpieshift.control.content import Delta, Full
 from magpieshift.control.ledger import Answer, Offer, Reason, Record
 from magpieshift.control.sexp import Change, Unusable
-from magpieshift.control.transaction import Running
 from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.transaction import Running
 
 MOST_BYTES = 1 << 20  # of one message; a document of a thousand zones takes a tenth
 MOST_CHANGES = 10_000
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -15,14 +15,14 @@
 
 from magpieshift.clock import Clock, Handle
 from magpieshift.config import NO_NAMES, Document, Names, settings_by_name
-from magpieshift.control.transaction import TurnedDown
 from magpieshift.core.classes import first, plan
 from magpieshift.core.model import Answer, Call, Member, Order, Result, Verdict, object_number
-from magpieshift.core.retune import retune
 from magpieshift.log import fields
+from magpieshift.transaction import TurnedDown
 from molecleat import interface as api
 from molecleat.control import Router
 from molecleat.interface import NEVER_RAN, Effect, Outcome, Phase, Scope
+from molecleat.retune import retune
 
 log = logging.getLogger(__name__)
 
@@ -99,6 +99,8 @@
     ) -> None:
         self._settings, self._clock, self._back, self.most_held = settings, clock, back, most_held
         self._told, self._beside = settings, 0  # as the document says; other processes of this router
+        self._divisors: tuple[int, int] | None = None  # in place of the document's routers: all, own zone
+        self.lease: Callable[[], None] | None = None  # asked before each batch: a share may have run out
         self._names = names
         self._plan = first(names.classes or [str(i) for i in range(len(settings.classes))], settings.classes)
         self.classes = dict(
@@ -221,9 +223,20 @@
             self._beside = beside
             self._run_on(self._told, frozenset())
 
+    def divide(self, routers: int, here: int) -> None:
+        """Use one part in so many of what all routers share, and of what those of the own zone do, in place
+        of what the document's count of them comes to. Holds from the next batch on."""
+        if (routers, here) != self._divisors:
+            self._divisors = routers, here
+            self._run_on(self._told, frozenset())
+
     def _run_on(self, settings: api.Settings, fresh: frozenset[int]) -> None:
         """Put settings in force, for the module and for what it is held to."""
         self._told = settings
+        if self._divisors is not None:
+            routers, here = self._divisors
+            zones = tuple(here if i == settings.zone else n for i, n in enumerate(settings.zone_routers))
+            settings = replace(settings, routers=routers, zone_routers=zones)
         if self._beside:
             times = 1 + self._beside
             zones = tuple(n * times for n in settings.zone_routers)
@@ -279,6 +292,8 @@
         events, self._events = [e for e in self._events if not self._taken_back(e)], []
         if not events:
             return
+        if self.lease is not None:
+            self.lease()
         # the clock may be set back, and the module is promised that its time never is
         self._module_us = max(self._module_us, self._clock.now_us())
         try:
--- /dev/null
+++ b/magpieshift/installation/following.py
@@ -0,0 +1,31 @@
+"""Following a control service, as a fitting of a router."""
+
+from __future__ import annotations
+
+import random
+import secrets
+
+from magpieshift.app import EdgeRouter
+from magpieshift.control.client import ControlClient
+from magpieshift.control.keeper import Keeper
+from magpieshift.installation.fitting import Plain
+from magpieshift.lifecycle import State
+
+
+class Following(Plain):
+    """Owner of the client of the control channel; it connects once the router serves."""
+
+    fitting = "control"
+
+    def __init__(self, router: EdgeRouter, keeper: Keeper, service: str, name: str) -> None:
+        self._client = ControlClient(service, keeper, name, secrets.token_hex(4), random.Random())
+        self._started = False
+        router.lifecycle.watchers.append(self._went)
+
+    def _went(self, state: State) -> None:
+        if state == State.SERVING and not self._started:  # it comes back to serving after a lame duck, too
+            self._started = True
+            self._client.start()
+
+    async def end(self) -> None:
+        await self._client.stop()
--- /dev/null
+++ b/magpieshift/installation/membership.py
@@ -0,0 +1,149 @@
+"""Membership, as a fitting of a router: who else is there, and what part of the whole it may use."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import random
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+from importlib.metadata import version
+
+from magpieshift.app import EdgeRouter
+from magpieshift.config import Document, Members
+from magpieshift.installation.fitting import Plain
+from magpieshift.lifecycle import State
+from magpieshift.log import fields
+from magpieshift.members.detector import Detector
+from magpieshift.members.driver import Driver, steady_us
+from magpieshift.members.shares import ALL, ZONE, Shares
+from magpieshift.members.view import Change, Member, Standing
+
+log = logging.getLogger(__name__)
+
+MOST_HISTORY = 64
+MOST_SHOWN = 256  # members in an answer at the door
+
+
+class Membership(Plain):
+    """Owner of the driver, and with it of the socket."""
+
+    fitting = "members"
+
+    def __init__(self, router: EdgeRouter, settings: Members, seed: int) -> None:
+        self._router, self._settings = router, settings
+        document, rand = router.document, random.Random(seed ^ time.time_ns())
+        own = Member(
+            document.name, *settings.advertise, time.time_ns() // 1_000_000, rand.getrandbits(32),
+            zone=document.names.zones[document.settings.zone], program=version("magpieshift"),
+            settings=router.version, state=router.lifecycle.word,
+        )  # fmt: skip
+        now = steady_us()
+        self._detector = Detector(own, settings.fleet, settings.seeds, now, rand)
+        self._scope = ZONE + own.zone
+        self._shares = Shares(own, settings.council, self._slots(document), settings.alone, now, rand)
+        self._driver = Driver(self._detector, self._shares, after=self._turned)
+        self._history: deque[Change] = deque(maxlen=MOST_HISTORY)
+        self._detector.view.listeners.append(self._changed)
+        self._opening: asyncio.Task[None] | None = None
+        self._conflicts = 0
+        self._share = -1.0
+        router.lifecycle.watchers.append(self._went)
+
+    def _slots(self, document: Document) -> dict[str, int]:
+        s = document.settings
+        return {ALL: max(1, s.routers), self._scope: max(1, s.zone_routers[s.zone])}
+
+    # --- as a fitting
+
+    def start(self) -> None:
+        self._router.engine.lease = self._check
+        self._opening = asyncio.ensure_future(self._open())
+
+    async def _open(self) -> None:
+        try:
+            bound = await self._driver.open(self._settings.listen)
+        except OSError as err:  # the router serves without: it has what its settings give it
+            where = "{}:{}".format(*self._settings.listen)
+            log.error("members not joined", extra=fields(address=where, reason=err))
+        else:
+            log.info("members open", extra=fields(address="{}:{}".format(*bound), fleet=self._settings.fleet))
+
+    def changed(self, document: Document, version: int) -> None:
+        self._shares.slots = self._slots(document)
+        self._detector.say(settings=version)
+        self._check()
+
+    def calls(self) -> Mapping[str, Callable[[], str]]:
+        return {"MEMBERS": self._members}
+
+    async def end(self) -> None:
+        if self._opening is not None:
+            await asyncio.wait([self._opening])
+        self._driver.close()
+        self._router.engine.lease = None
+
+    # --- what goes on
+
+    def _went(self, state: State) -> None:
+        self._detector.say(state=state.value)
+
+    def _turned(self) -> None:
+        """After each turn of the driver."""
+        lifecycle = self._router.lifecycle
+        self._detector.expects_rival = lifecycle.replaced or lifecycle.state == State.ENDING
+        self._detector.say(load=self._router.engine.open_requests)
+        if self._detector.counters.conflicts != self._conflicts:
+            self._conflicts = self._detector.counters.conflicts
+            log.error(
+                "name conflict",
+                extra=fields(name=self._router.document.name, goes_on_as=self._detector.view.own.name),
+            )
+        self._check()
+
+    def _check(self) -> None:
+        """What may be used at this instant, rounded to the safe side, is what the engine divides by. It is
+        asked before each batch as well: a process that has just woken acts on nothing that ran out."""
+        now = steady_us()
+        share = self._shares.share(ALL, now)
+        if share != self._share:
+            self._share = share
+            log.info("share", extra=fields(at_us=now, share=f"{share:.6f}", here=self._detector.view.count))
+        divisors = [
+            math.ceil(1 / share - 1e-9) if (share := self._shares.share(scope, now)) > 0 else 1 << 20
+            for scope in (ALL, self._scope)
+        ]
+        self._router.engine.divide(divisors[0], divisors[1])
+
+    def _changed(self, change: Change) -> None:
+        self._history.append(change)
+        before = change.before.value if change.before else "unknown"
+        level = logging.WARNING if change.after in (Standing.SUSPECTED, Standing.GONE) else logging.INFO
+        log.log(
+            level, "member",
+            extra=fields(name=change.name, before=before, after=change.after.value, why=change.why,
+                         view=change.number, here=self._detector.view.count),
+        )  # fmt: skip
+
+    def _members(self) -> str:
+        """The view as one line of JSON."""
+        view, now = self._detector.view, steady_us()
+        rows = sorted(view.known.values(), key=lambda known: (not known.here, known.member.name))
+        return json.dumps({
+            "own": view.own.name, "view": view.number, "digest": f"{view.digest:016x}", "here": view.count,
+            "isolated": self._detector.isolated, "quiet": self._detector.quiet,
+            "share": round(self._shares.share(ALL, now), 6),
+            "zone_share": round(self._shares.share(self._scope, now), 6),
+            "lease_s": round(max(0, self._shares.until_us - now) / 1e6, 2),
+            "dropped": asdict(self._detector.counters),
+            "members": [self._detector.row(known) for known in rows[:MOST_SHOWN]],
+            "history": [
+                {"view": c.number, "ago_s": round((now - c.at_us) / 1e6, 1), "name": c.name,
+                 "before": c.before.value if c.before else "", "after": c.after.value, "why": c.why}
+                for c in self._history
+            ],
+        }, separators=(",", ":"))  # fmt: skip
--- a/magpieshift/capture/attach.py
+++ b/magpieshift/installation/recording.py
@@ -1,4 +1,4 @@
-"""Recording switched on at a running router."""
+"""Recording, as a fitting of a router."""
 
 from __future__ import annotations
 
@@ -13,12 +13,29 @@
 from magpieshift.capture.segments import FORMAT
 from magpieshift.capture.wire import capture_pb2 as wire
 from magpieshift.config import ConfigError
+from magpieshift.installation.fitting import Plain
 
 LEAST_KEY = 16
 
 
+class Recording(Plain):
+    """Records all that a router's module is told and says; owner of the recorder."""
+
+    fitting = "capture"
+
+    def __init__(self, router: EdgeRouter, folder: str, limits: Limits | None = None, hashed: bool = False):
+        self.recorder = attach(router, folder, limits, hashed)
+
+    def start(self) -> None:
+        self.recorder.start()
+
+    async def end(self) -> None:
+        self.recorder.stop()
+
+
 def attach(router: EdgeRouter, folder: str, limits: Limits | None = None, hashed: bool = False) -> Recorder:
-    """Record all that this router's module is told and says; ``start`` and ``stop`` are the caller's."""
+    """A recorder of all that this router's module is told and says; ``start`` and ``stop`` are the
+    caller's."""
     header = wire.Header(
         format=FORMAT, program=version("magpieshift"), policy_digest=own().digest,
         router=router.document.name, config_version=router.version, hashed=hashed,
--- a/magpieshift/control/runner.py
+++ b/magpieshift/installation/runner.py
@@ -5,13 +5,11 @@
 import asyncio
 import json
 import logging
-import random
 import secrets
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from magpieshift.app import EdgeRouter, serve
 from magpieshift.config import Config, ConfigError, address, parse
@@ -19,11 +17,9 @@
 from magpieshift.control.keeper import Keeper, as_loaded, first_version, opened
 from magpieshift.control.schema import Loaded, load_text
 from magpieshift.control.sexp import Unusable
+from magpieshift.installation.fitting import Fitting
 from magpieshift.log import fields
 
-if TYPE_CHECKING:
-    from magpieshift.capture.recorder import Recorder
-
 log = logging.getLogger(__name__)
 
 SWITCH_S = 0.0005  # versions are read in a thread, which would hold the event loop up for 5 ms at a time
@@ -87,16 +83,29 @@
         self.router = EdgeRouter(Config(document, seed, known, ledger.in_force.number))
         self.keeper = Keeper(self.router, ledger, loaded.data, store, trouble, overrides)
         self._name = document.name
-        self.recorder: Recorder | None = None
-        if options.capture or options.hash_key:
-            from magpieshift.capture.attach import attach, keyed_hash  # its libraries, only where it is used
+        self.fittings: list[Fitting] = []
+        if options.capture or options.hash_key:  # the libraries of each fitting, only where it is used
             from magpieshift.capture.recorder import Limits
+            from magpieshift.installation.recording import Recording, keyed_hash
 
             if options.hash_key:
                 self.router.engine.object_number = keyed_hash(options.hash_key)
             if options.capture:
                 limits = Limits(budget=options.capture_mb << 20)
-                self.recorder = attach(self.router, options.capture, limits, bool(options.hash_key))
+                self.fittings.append(
+                    Recording(self.router, options.capture, limits, bool(options.hash_key))
+                )
+        if options.control:
+            from magpieshift.installation.following import Following
+
+            self.fittings.append(Following(self.router, self.keeper, options.control, self._name))
+        if document.members is not None:
+            from magpieshift.installation.membership import Membership
+
+            self.fittings.append(Membership(self.router, document.members, seed))
+        for fitting in self.fittings:
+            self.router.committed.append(fitting.changed)
+            self.router.calls.update(fitting.calls())
 
     def reload(self) -> None:
         """SIGHUP: the settings file is offered as a version."""
@@ -114,28 +123,19 @@
         """Serve until the router is stopped."""
         prepared(self)
         sys.setswitchinterval(SWITCH_S)
-        if self.recorder is not None:
-            self.recorder.start()
+        for fitting in self.fittings:
+            fitting.start()
         self.keeper.start()
-        client = None
-        if self._options.control:
-            from magpieshift.control.client import ControlClient  # gRPC, only where it is used
-
-            client = ControlClient(
-                self._options.control, self.keeper, self._name, secrets.token_hex(4), random.Random()
-            )
         ending = asyncio.ensure_future(self._end_with())
         try:
-            await serve(self.router, self.reload, client.start if client is not None else lambda: None)
+            await serve(self.router, self.reload)
         finally:
             if not self.router.ending:  # it never came to serve
                 ending.cancel()
                 await self.keeper.stop()
             await asyncio.wait([ending])
-            if client is not None:
-                await client.stop()
-            if self.recorder is not None:
-                self.recorder.stop()
+            for fitting in reversed(self.fittings):
+                await fitting.end()
 
     async def _end_with(self) -> None:
         """Nothing else changes while the router drains."""
--- /dev/null
+++ b/magpieshift/lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure, and the reports of them."""
--- a/magpieshift/lab/apply.py
+++ b/magpieshift/lab/experiments/apply.py
@@ -24,8 +24,8 @@
 from magpieshift.control import sexp
 from magpieshift.control.content import Full
 from magpieshift.control.ledger import Answer, Offer
-from magpieshift.control.runner import SWITCH_S, Installation, Options
-from magpieshift.lab.world import World
+from magpieshift.installation.runner import SWITCH_S, Installation, Options
+from magpieshift.lab.standins.world import World
 
 KINDS = ("a figure", "classes", "zones anew")
 TICK_S = 0.001
--- a/magpieshift/lab/cost.py
+++ b/magpieshift/lab/experiments/cost.py
@@ -21,8 +21,8 @@
 from pathlib import Path
 from typing import Any
 
-from magpieshift.lab import peers
-from magpieshift.lab.world import World
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.world import World
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -43,7 +43,7 @@
 from hdrh.histogram import HdrHistogram
 from magpieshift.capture import segments
 from magpieshift.cli.main import run
-from magpieshift.control import runner
+from magpieshift.installation import runner
 plain, late, stuck = runner.run, HdrHistogram(1, 60_000_000, 3), float(sys.argv[1])
 async def tick():
     while True:
--- a/magpieshift/lab/door.py
+++ b/magpieshift/lab/experiments/door.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from magpieshift.console.door import MOST_CALLERS
-from magpieshift.lab import peers
-from magpieshift.lab.cost import Variant, started
-from magpieshift.lab.world import World
+from magpieshift.lab.experiments.cost import Variant, started
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.world import World
 
 
 async def _call(port: int, line: bytes) -> tuple[float, bytes]:
--- a/magpieshift/lab/episode.py
+++ b/magpieshift/lab/experiments/episode.py
@@ -17,10 +17,10 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.schema import load_data, to_data
-from magpieshift.lab import peers
-from magpieshift.lab.emulator import Figures, Rules, Store
-from magpieshift.lab.load import Load
-from magpieshift.lab.scenario import Failure, Scenario
+from magpieshift.lab.experiments.scenario import Failure, Scenario
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.emulator import Figures, Rules, Store
+from magpieshift.lab.standins.load import Load
 
 ROUTER = (sys.executable, "-m", "magpieshift")
 UP_S = 20.0
--- a/magpieshift/lab/versions.py
+++ b/magpieshift/lab/experiments/versions.py
@@ -33,8 +33,8 @@
 from magpieshift.control.service import ControlService, Stream
 from magpieshift.control.session import running_digests
 from magpieshift.control.wire import control_pb2 as wire
-from magpieshift.lab import peers
-from magpieshift.lab.world import World
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.world import World
 
 PATIENCE_S = 20.0
 TOO_LARGE = 64 << 20
--- /dev/null
+++ b/magpieshift/lab/proving/run.py
@@ -0,0 +1,124 @@
+"""One run of the proving ground: a scenario played, judged, and left behind to be played again."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from magpieshift.lab.proving.ground import UP_S, Ground
+from magpieshift.lab.proving.scenario import ON_WAYS, Fault, Run
+
+QUIET_S = 30.0  # after the last fault, within which all must agree
+
+
+async def _fault(ground: Ground, fault: Fault, began: float) -> None:
+    """Cause it, and take it away when its time is over."""
+    await asyncio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
+    if fault.what in ON_WAYS:
+        ways: dict[str, dict[str, Any]] = {
+            "cut": {"cut": True}, "lose": {"lose": fault.by}, "double": {"double": fault.by},
+            "delay": {"delay_ms": fault.by, "jitter_ms": fault.by},
+        }  # fmt: skip
+        ground.switch.put(fault.name, fault.source, fault.target, **ways[fault.what])
+        await asyncio.sleep(fault.for_s)
+        return ground.switch.heal(fault.name)
+    if fault.what == "pause":
+        ground.pause(fault.who)
+        await asyncio.sleep(fault.for_s)
+        return ground.wake(fault.who)
+    if fault.what == "kill":
+        ground.kill(fault.who)
+        await ground.died(fault.who)
+    else:
+        await ground.stop(fault.who)
+    await asyncio.sleep(fault.for_s)
+    await ground.start(fault.who)
+
+
+async def play(run: Run, folder: Path, progress: Callable[[str], None] = lambda line: None) -> dict[str, Any]:
+    """Play it; the verdict, which is also left in the folder with settings and logs."""
+    (folder).mkdir(parents=True, exist_ok=True)
+    (folder / "scenario.json").write_text(json.dumps(asdict(run), indent=1))
+    verdict: dict[str, Any] = {"routers": run.routers, "seed": run.seed}
+    samples: list[dict[str, Any]] = []
+    wrong: list[str] = []
+    async with Ground(folder, run.routers, run.seed, run.alone, run.rate) as ground:
+        names = list(ground.places)
+        await ground.start(*names)
+        await ground.serving(*names)
+        await ground.until(lambda: ground.agreed(), "all agree at first")
+        ground.load()
+        began = time.monotonic()
+        faults = [asyncio.ensure_future(_fault(ground, fault, began)) for fault in run.faults]
+        while time.monotonic() - began < run.seconds or not all(task.done() for task in faults):
+            views = await ground.views()
+            row = {
+                "at_s": round(time.monotonic() - began, 1),
+                "here": {name: len(ground.here(view)) for name, view in views.items()},
+                "suspected": sum(m["standing"] == "suspected" for v in views.values() for m in v["members"]),
+                "gone": sum(m["standing"] == "gone" for v in views.values() for m in v["members"]),
+                "share": {name: view["share"] for name, view in views.items()},
+            }
+            samples.append(row)
+            progress(f"{row['at_s']:6.1f} s  views {sorted(set(row['here'].values()))}  suspected "
+                     f"{row['suspected']}  gone {row['gone']}")  # fmt: skip
+            await asyncio.sleep(1.0)
+        for fault, task in zip(run.faults, faults, strict=True):
+            if (error := task.exception()) is not None:
+                wrong.append(f"fault {fault.name}: {error}")
+        try:
+            what = "all agree after the last fault"
+            took = await ground.until(lambda: ground.agreed(), what, QUIET_S + UP_S)
+            verdict["agree_after_s"] = round(took, 1)
+        except AssertionError as err:
+            wrong.append(str(err))
+        counted = await ground.settle()
+        most, when = ground.most_shared()
+        if most > 1 + 1e-4:
+            wrong.append(f"shares came to {most:.4f} of the whole at {when:.3f}")
+        wrong += ground.broken + ground.ended_wrong
+        if counted["lost"]:
+            wrong.append(f"{counted['lost']} requests lost")
+        verdict |= {
+            "asked": counted["sent"], "served": counted["served"], "refused": counted["refused"],
+            "failed": counted["failed"], "lost": counted["lost"], "cut": counted["cut"],
+            "faults": len(run.faults), "most_share": round(most, 4), "rules_broken": wrong,
+            "datagrams": ground.switch.carried, "dropped": ground.switch.dropped,
+        }  # fmt: skip
+    verdict["left_running"] = ground.left_running()
+    (folder / "samples.json").write_text(json.dumps(samples))
+    (folder / "verdict.json").write_text(json.dumps(verdict, indent=1))
+    return verdict
+
+
+def plot(folder: Path) -> Path:
+    """The timeline of a run that was left behind, as a picture."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    samples = json.loads((folder / "samples.json").read_text())
+    run = json.loads((folder / "scenario.json").read_text())
+    figure, (above, below) = plt.subplots(2, 1, sharex=True, figsize=(10, 6))
+    names = sorted({name for row in samples for name in row["here"]})
+    for name in names:
+        rows = [row for row in samples if name in row["here"]]
+        above.plot([r["at_s"] for r in rows], [r["here"][name] for r in rows], label=name, alpha=0.7)
+        below.plot([r["at_s"] for r in rows], [r["share"][name] for r in rows], alpha=0.7)
+    for fault in run["faults"]:
+        for axis in (above, below):
+            axis.axvspan(fault["at_s"], fault["at_s"] + fault["for_s"], alpha=0.1, color="red")
+    above.set_ylabel("members in the view")
+    below.set_ylabel("share of the whole")
+    below.set_xlabel("seconds; red: faults")
+    above.legend(fontsize=7, ncol=4)
+    path = folder / "timeline.png"
+    figure.savefig(path, dpi=90)
+    plt.close(figure)
+    return path
--- /dev/null
+++ b/magpieshift/lab/proving/switch.py
@@ -0,0 +1,100 @@
+"""A switch for datagrams on loopback: each process has a public port here, and every direction between two of
+them its own faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, fields
+from typing import Any
+
+ANY = "*"
+
+
+@dataclass
+class Fault:
+    """What happens to datagrams on one way; several that fit one way add up."""
+
+    cut: bool = False
+    lose: float = 0.0  # share
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0  # up to so much more, drawn for each: they overtake each other
+    double: float = 0.0  # share that comes twice
+
+
+class _Port(asyncio.DatagramProtocol):
+    def __init__(self, switch: Switch, name: str) -> None:
+        self._switch, self._name = switch, name
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]  # asyncio's own is no subclass of its interface
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._switch.carry(addr[1], self._name, data)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # nobody listens at the private port right now: the process is down
+
+
+class Switch:
+    """Owner of the public ports. A datagram's sender is known by the private port it comes from."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._ports: dict[str, _Port] = {}
+        self._private: dict[str, int] = {}
+        self._names: dict[int, str] = {}
+        self._faults: dict[tuple[str, str], dict[str, Fault]] = {}  # by way, and by who asked for it
+        self.carried = self.dropped = 0
+
+    async def add(self, name: str, private: int, public: int) -> None:
+        """A public port for the process that binds ``private``."""
+        loop = asyncio.get_running_loop()
+        _, port = await loop.create_datagram_endpoint(
+            lambda: _Port(self, name), local_addr=("127.0.0.1", public)
+        )
+        self._ports[name], self._private[name], self._names[private] = port, private, name
+
+    def close(self) -> None:
+        for port in self._ports.values():
+            if port.transport is not None:
+                port.transport.close()
+
+    def put(self, why: str, source: str, target: str, **fault: Any) -> None:
+        """A fault on the way from one to another; ``*`` stands for all."""
+        known = {field.name for field in fields(Fault)}
+        if wrong := set(fault) - known:
+            raise ValueError(f"found {sorted(wrong)}, expected some of {sorted(known)}")
+        self._faults.setdefault((source, target), {})[why] = Fault(**fault)
+
+    def heal(self, why: str) -> None:
+        """Take away all that was put for this."""
+        for held in self._faults.values():
+            held.pop(why, None)
+
+    def carry(self, private: int, target: str, data: bytes) -> None:
+        source = self._names.get(private)
+        if source is None:
+            return
+        ways = ((source, target), (source, ANY), (ANY, target), (ANY, ANY))
+        faults = [fault for way in ways for fault in self._faults.get(way, {}).values()]
+        kept, delay_ms, copies = 1.0, 0.0, 1
+        for fault in faults:
+            kept *= 0.0 if fault.cut else 1.0 - fault.lose
+            delay_ms += fault.delay_ms + fault.jitter_ms * self._random.random()
+            copies += self._random.random() < fault.double
+        if self._random.random() >= kept:
+            self.dropped += 1
+            return
+        for _ in range(copies):
+            self.carried += 1
+            if delay_ms:
+                asyncio.get_running_loop().call_later(delay_ms / 1e3, self._deliver, source, target, data)
+            else:
+                self._deliver(source, target, data)
+
+    def _deliver(self, source: str, target: str, data: bytes) -> None:
+        transport = self._ports[source].transport  # so that it comes from where its sender is known
+        if transport is not None and not transport.is_closing():
+            transport.sendto(data, ("127.0.0.1", self._private[target]))
--- a/magpieshift/lab/world.py
+++ b/magpieshift/lab/standins/world.py
@@ -8,7 +8,7 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.schema import load_data, to_data
-from magpieshift.lab import peers
+from magpieshift.lab.standins import peers
 
 
 class World:
--- /dev/null
+++ b/magpieshift/members/driver.py
@@ -0,0 +1,104 @@
+"""The thin driver: one UDP socket and one timer round the state machines."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from magpieshift.log import fields
+from magpieshift.members.codec import Malformed, decode, encode
+from magpieshift.members.detector import TURN_US, Detector
+from magpieshift.members.messages import Address, Claim, Send
+from magpieshift.members.shares import Shares
+from magpieshift.members.view import Member
+
+log = logging.getLogger(__name__)
+
+MOST_A_TURN = 512  # datagrams read between two turns; what floods us is dropped unread
+
+
+def steady_us() -> int:
+    """A clock that never goes back and runs on while the process is stopped; no wall clock is needed."""
+    return time.monotonic_ns() // 1000
+
+
+class Driver(asyncio.DatagramProtocol):
+    """Owner of the socket and of the timer. ``after`` is called at the end of each turn."""
+
+    def __init__(
+        self, detector: Detector, shares: Shares, now_us: Callable[[], int] = steady_us,
+        after: Callable[[], None] = lambda: None,
+    ) -> None:  # fmt: skip
+        self.detector, self.shares, self.now_us = detector, shares, now_us
+        self.after = after
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._read = 0
+        detector.other = self._claim
+
+    async def open(self, address: Address) -> Address:
+        """Bind and begin; the address bound. ``OSError`` where that can't be."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        self._transport = transport
+        bound: Address = transport.get_extra_info("sockname")[:2]
+        self._turn()
+        return bound
+
+    def close(self) -> None:
+        """Say goodbye and give back socket and timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transport is not None:
+            self._carry(self.detector.leave(self.now_us()))
+            self._transport.close()
+            self._transport = None
+
+    # --- what comes
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._read += 1
+        if self._read > MOST_A_TURN:
+            self.detector.counters.flooded += 1
+            return
+        try:
+            datagram = decode(data)
+        except Malformed as err:
+            self.detector.counters.malformed += 1
+            log.debug("datagram dropped", extra=fields(source="{}:{}".format(*addr[:2]), reason=err))
+            return
+        try:
+            self._carry(self.detector.receive(self.now_us(), addr[:2], datagram))
+        except Exception:  # what one sends must not end the membership of all
+            log.exception("datagram failed", extra=fields(source="{}:{}".format(*addr[:2])))
+
+    def error_received(self, exc: Exception) -> None:
+        log.debug("datagram not delivered", extra=fields(reason=exc))
+
+    # --- time
+
+    def _turn(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(TURN_US / 1e6, self._turn)
+        self._read = 0
+        now = self.now_us()
+        try:
+            self._carry(self.detector.tick(now))
+            for to, claim in self.shares.tick(now, self.detector.view):
+                self.detector.send(to, claim)
+            self._carry(self.detector.flush())
+            self.after()
+        except Exception:
+            log.exception("turn failed")
+
+    def _claim(self, claim: Claim, sender: Member, to: Address) -> None:
+        for where, answer in self.shares.receive(self.now_us(), claim, sender, to, self.detector.view):
+            self.detector.send(where, answer)
+
+    def _carry(self, sends: list[Send]) -> None:
+        if self._transport is None:
+            return
+        for send in sends:
+            self._transport.sendto(encode(send.datagram), send.to)
--- a/tests/capture/test_capture.py
+++ b/tests/capture/test_capture.py
@@ -212,7 +212,7 @@
         self.assertEqual(self.replayed().differences, 0)
 
     def test_a_configuration_that_changes_in_the_middle(self) -> None:
-        from magpieshift.core.retune import retune
+        from molecleat.retune import retune
 
         recorder = self.recorder()
         referee = random_runs.Referee()
--- a/tests/capture/test_process.py
+++ b/tests/capture/test_process.py
@@ -15,9 +15,10 @@
 from magpieshift.capture.replay import Replay
 from magpieshift.control import sexp
 from magpieshift.control.sexp import Unusable
-from magpieshift.lab import episode, peers, report, scenario
-from magpieshift.lab.emulator import Rules
-from magpieshift.lab.world import World
+from magpieshift.lab.experiments import episode, report, scenario
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.emulator import Rules
+from magpieshift.lab.standins.world import World
 from tests.control.test_program import program
 from tests.real.exchange import PATIENCE_S, ROOT
 
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -24,8 +24,8 @@
 from magpieshift.control.schema import load_text
 from magpieshift.control.service import ControlService, Stream
 from magpieshift.control.session import RouterSession
-from magpieshift.control.transaction import Prepared, Running, prepare
 from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.transaction import Prepared, Running, prepare
 from tests.real.exchange import PATIENCE_S, ROOT
 
 TEXT = (ROOT / "deploy" / "magpieshift.sexp").read_text()
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -17,8 +17,8 @@
 from magpieshift.control.publisher import Published
 from magpieshift.control.schema import load_data, to_data
 from magpieshift.control.service import ControlService
-from magpieshift.lab import peers
-from magpieshift.lab.versions import Plan, play
+from magpieshift.lab.experiments.versions import Plan, play
+from magpieshift.lab.standins import peers
 from tests.control.test_documents import EXAMPLE
 from tests.real.exchange import PATIENCE_S, ROOT, config
 
@@ -26,7 +26,7 @@
 KILLED_AT = """
 import os, signal, sys
 from magpieshift.cli import main
-from magpieshift.control import runner
+from magpieshift.installation import runner
 plain = runner.run
 def at(name, installation):
     if name == sys.argv[1] and installation.router.version == 1 + (name in ("committed", "answered")):
--- a/tests/control/test_transaction.py
+++ b/tests/control/test_transaction.py
@@ -13,10 +13,10 @@
 
 from magpieshift import Document, parse
 from magpieshift.app import expected
-from magpieshift.control.transaction import Commit, NotPrepared, TurnedDown, prepare
 from magpieshift.core import classes
 from magpieshift.core.model import Result, Verdict
 from magpieshift.core.numbers import aligned, keep
+from magpieshift.transaction import Commit, NotPrepared, TurnedDown, prepare
 from molecleat import interface as api
 from molecleat.interface import Outcome, Phase
 from tests.real.exchange import config
@@ -58,7 +58,7 @@
         for hows in itertools.product(["at once", "later", *kinds], repeat=3):
             parts = [FakePart(f"p{i}", how) for i, how in enumerate(hows)]
             first = next((how for how in hows if how in kinds), None)
-            with self.subTest(hows), mock.patch("magpieshift.control.transaction.log"):
+            with self.subTest(hows), mock.patch("magpieshift.transaction.log"):
                 if first is None:
                     prepared = await prepare(parts, DOCUMENT, DOCUMENT)
                     self.assertEqual({part.runs_on for part in parts}, {"old"})
@@ -72,7 +72,7 @@
 
     async def test_a_part_that_breaks_its_word_does_not_hold_up_the_others(self) -> None:
         parts = [FakePart("a", "at once"), FakePart("b", "breaks its word"), FakePart("c", "at once")]
-        with self.assertLogs("magpieshift.control.transaction", "ERROR"):
+        with self.assertLogs("magpieshift.transaction", "ERROR"):
             (await prepare(parts, DOCUMENT, DOCUMENT)).commit()
         self.assertEqual([part.runs_on for part in parts], ["new", "old", "new"])
 
--- /dev/null
+++ b/tests/members/test_explored.py
@@ -0,0 +1,194 @@
+"""All orders of delivery, loss, pause and restart, to a depth, for three members: not drawn, but every one.
+
+The shares' machine is small enough for it. Time goes in steps of a fifth of a lease; in each step any message
+on its way may be delivered or lost, and any process may sleep through the step or start anew. A state seen
+before is not gone through again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import pickle
+import random
+import unittest
+
+from magpieshift.members import shares as machine
+from magpieshift.members.messages import Address, Claim
+from magpieshift.members.shares import ALL, LEASE_US, Shares
+from magpieshift.members.view import Member, Standing, View
+
+NAMES = ("a", "b", "c")
+STEP_US = LEASE_US // 5
+Message = tuple[str, str, Claim]
+
+
+def at(name: str) -> Address:
+    return name, 1
+
+
+class State:
+    """Three processes, what each takes the others for, and what is on its way."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.boots = dict.fromkeys(NAMES, 1)
+        self.shares: dict[str, Shares] = {}
+        self.views: dict[str, View] = {}
+        self.under_way: list[Message] = []
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        own = Member(name, *at(name), 1, self.boots[name])
+        self.shares[name] = Shares(own, NAMES, {ALL: 3}, 0.4, self.now, random.Random(self.boots[name]))
+        view = View(own, self.now)
+        for other in NAMES:
+            if other != name:
+                view.learn(Member(other, *at(other), 1, self.boots[other]), self.now, "")
+        self.views[name] = view
+
+    def key(self) -> bytes:
+        """Equal for states that go on alike: times count from now, numbers do not."""
+        rows = []
+        for name in NAMES:
+            s = self.shares[name]
+            rows.append((
+                s.silent_until_us - self.now if s.silent_until_us > self.now else 0,
+                (s._promised[0], max(0, s._promised[1] - self.now)) if s._promised else None,
+                bool(s._term), sorted((n, max(0, u - self.now)) for n, u in s._votes.items()),
+                s._elected_us is not None and min(self.now - s._elected_us, 2 * LEASE_US),
+                sorted((w, sorted(v.parts.items()), max(0, v.until_us - self.now))
+                       for w, v in s._ledger.items()),
+                sorted(s._held.parts.items()), max(0, s._held.until_us - self.now),
+                tuple(self.views[name].known[o].standing.value for o in NAMES),
+            ))  # fmt: skip
+        way = sorted((f, t, c.kind, c.number, c.term != 0, c.parts) for f, t, c in self.under_way)
+        return repr((rows, way)).encode()
+
+    def in_use(self) -> float:
+        return sum(self.shares[name].share(ALL, self.now) for name in NAMES)
+
+    def send(self, name: str, claims: list[tuple[Address, Claim]]) -> None:
+        self.under_way += [(name, to[0], claim) for to, claim in claims]
+
+    def deliver(self, index: int) -> None:
+        source, target, claim = self.under_way.pop(index)
+        own = self.shares[source].own
+        self.send(target, self.shares[target].receive(self.now, claim, own, at(source), self.views[target]))
+
+    def deliver_all(self) -> None:
+        while self.under_way:
+            self.deliver(0)
+
+
+def nexts(state: State) -> list[State]:
+    """Every way in which a step can go."""
+    found: list[State] = []
+    packed = pickle.dumps(state, pickle.HIGHEST_PROTOCOL)
+
+    def go(change: object) -> State:
+        new: State = pickle.loads(packed)
+        new.now += STEP_US
+        change(new)  # type: ignore[operator]
+        return new
+
+    def tick(new: State, asleep: tuple[str, ...] = ()) -> None:
+        for name in NAMES:
+            if name not in asleep:
+                new.send(name, new.shares[name].tick(new.now, new.views[name]))
+
+    def all_well(new: State) -> None:
+        tick(new)
+        new.deliver_all()
+
+    found.append(go(all_well))
+    for name in NAMES:
+        def sleeps(new: State, name: str = name) -> None:
+            tick(new, (name,))
+            kept = [m for m in new.under_way if m[1] == name]
+            new.under_way = [m for m in new.under_way if m[1] != name]
+            new.deliver_all()
+            new.under_way += kept  # it reads them when it wakes
+
+        def unheard(new: State, name: str = name) -> None:
+            tick(new)
+            while (left := [m for m in new.under_way if m[0] != name]):
+                new.deliver(new.under_way.index(left[0]))
+            new.under_way = []
+
+        def starts(new: State, name: str = name) -> None:
+            new.boots[name] += 1
+            new.start(name)
+            all_well(new)
+
+        def taken_for_dead(new: State, name: str = name) -> None:
+            for other in NAMES:
+                if other != name and new.views[other].known[name].here:
+                    new.views[other].stand(name, Standing.GONE, new.now, "")
+                elif other != name:
+                    new.views[other].stand(name, Standing.ALIVE, new.now, "")
+            all_well(new)
+
+        found += [go(sleeps), go(unheard), go(starts), go(taken_for_dead)]
+    return found
+
+
+def unread(self: Shares, scope: str, now_us: int) -> float:
+    """``Shares.share`` without the time."""
+    return self.alone / self.slots[scope] + (1.0 - self.alone) * self._held.parts.get(scope, 0.0)
+
+
+class Explored(unittest.TestCase):
+    def setUp(self) -> None:
+        self.random = random.Random(1)
+
+    def explore(self, most: int, greedy: bool = False) -> tuple[int, float]:
+        """How many states were seen, and the most that shares came to: all to a depth, or, ``greedy``, deep
+        where most is in use."""
+        first = State()
+        for _ in range(24):  # until shares are dealt out: before that there is nothing to get wrong
+            first.now += STEP_US
+            for name in NAMES:
+                first.send(name, first.shares[name].tick(first.now, first.views[name]))
+            first.deliver_all()
+        self.assertAlmostEqual(first.in_use(), 1.0)
+        order = itertools.count()
+        seen, worst = {first.key()}, 0.0
+        edge = [(0.0, next(order), 0, first)]
+        while edge and len(seen) < most:
+            _, _, depth, state = heapq.heappop(edge)
+            for new in nexts(state):
+                worst = max(worst, new.in_use())
+                if (key := new.key()) not in seen:
+                    seen.add(key)
+                    rank = float(depth + 1) if not greedy else -new.in_use() - self.random.random() / 2
+                    heapq.heappush(edge, (rank, next(order), depth + 1, new))
+        return len(seen), worst
+
+    def test_shares_never_come_to_more_than_the_whole(self) -> None:
+        for greedy in (False, True):
+            states, worst = self.explore(10_000, greedy)
+            self.assertGreaterEqual(states, 10_000)
+            self.assertLessEqual(worst, 1.0 + 1e-9)
+
+    def test_a_rule_left_out_is_found(self) -> None:
+        """The check can fail: each of these was left out once on purpose."""
+        for what, broken in (
+            ("a new allocator grants at once", {"_longest": staticmethod(lambda us=LEASE_US: 0)}),
+            ("a holder reads no clock", {"share": unread}),
+        ):
+            with self.subTest(what):
+                kept = {name: machine.Shares.__dict__[name] for name in broken}
+                for name, value in broken.items():
+                    setattr(machine.Shares, name, value)
+                try:
+                    _, worst = self.explore(4_000, greedy=True)
+                finally:
+                    for name, value in kept.items():
+                        setattr(machine.Shares, name, value)
+                self.assertGreater(worst, 1.0 + 1e-9)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/members/test_joined.py
@@ -0,0 +1,84 @@
+"""How membership joins a router: its settings, the engine's divisors, and that nothing of it is there where
+it is off."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from magpieshift.control.schema import load_data, to_data
+from magpieshift.control.sexp import Unusable
+from magpieshift.lab.standins.world import World
+from tests.real.test_engine import CALL, EngineCase
+
+MEMBERS = {
+    "fleet": "f", "listen": "127.0.0.1:7946", "advertise": "10.0.0.1:7946", "alone": 0.25,
+    "seeds": ["127.0.0.1:1", "127.0.0.1:2"], "council": ["a", "b", "c"],
+}  # fmt: skip
+
+
+class Settings(unittest.TestCase):
+    def data(self, **members: Any) -> dict[str, Any]:
+        world = World()
+        world.log.port = 9  # nothing is started here
+        return world.settings() | {"members": MEMBERS | members}
+
+    def test_what_is_written_is_read(self) -> None:
+        document = load_data(self.data()).document
+        assert document.members is not None
+        self.assertEqual(document.members.advertise, ("10.0.0.1", 7946))
+        self.assertEqual(load_data(to_data(document)).document, document)
+        without = {name: value for name, value in self.data().items() if name != "members"}
+        self.assertIsNone(load_data(without).document.members)
+
+    def test_mistakes_are_told(self) -> None:
+        wrongs: list[dict[str, Any]] = [
+            {"listen": "nowhere"}, {"seeds": ["127.0.0.1"]}, {"council": ["a", "b"]}, {"alone": 1.5},
+        ]  # fmt: skip
+        for wrong in wrongs:
+            with self.subTest(wrong), self.assertRaises(Unusable) as caught:
+                load_data(self.data(**wrong))
+            self.assertEqual([p.where for p in caught.exception.problems], [f"members {next(iter(wrong))}"])
+
+
+class Divisors(EngineCase):
+    def test_the_module_divides_by_them_from_the_next_batch_on(self) -> None:
+        told = self.engine._told
+        self.engine.divide(7, 3)
+        used = self.engine._router.cfg
+        self.assertEqual((used.routers, used.zone_routers[used.zone]), (7, 3))
+        self.engine.share(1)  # beside another process of this router each has half of that
+        used = self.engine._router.cfg
+        self.assertEqual((used.routers, used.zone_routers[used.zone]), (14, 6))
+        self.assertIs(self.engine._told, told, "the document's figures stay its own")
+
+    def test_the_lease_is_asked_before_the_module_hears_anything(self) -> None:
+        """A process that has just woken must act on nothing that ran out while it slept."""
+        seen: list[int] = []
+        self.engine.divide(2, 2)
+        self.engine.lease = lambda: self.engine.divide(9, 9)
+        handle = self.engine._router.handle
+
+        def watched(now_us: int, events: Any) -> Any:
+            seen.append(self.engine._router.cfg.routers)
+            return handle(now_us, events)
+
+        self.engine._router.handle = watched  # type: ignore[method-assign]
+        self.engine.submit(replace(CALL, ident="00000000000000aa"), lambda answer: None)
+        self.engine.flush()
+        self.assertEqual(seen, [9])
+
+
+class Off(unittest.TestCase):
+    def test_the_platforms_run_loads_nothing_of_it(self) -> None:
+        optional = "('members' in m or 'installation' in m)"
+        code = f"import sys, magpieshift.app; print([m for m in sys.modules if {optional}])"
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+        self.assertEqual(done.stdout.strip(), "[]", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/members/test_processes.py
@@ -0,0 +1,158 @@
+"""Eight real routers under load, and the hard cases put between and into them. All waits are for events, with
+generous limits; what is asserted are invariants, never speeds."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.control.sexp import Unusable
+from magpieshift.lab.proving import scenario
+from magpieshift.lab.proving.ground import Ground
+
+ROUTERS = 8
+
+
+class Processes(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.ground = await self.enterAsyncContext(Ground(Path(self.folder.name), ROUTERS, rate=15.0))
+        self.names = list(self.ground.places)
+
+    async def others(self, but: str) -> list[dict[str, object]]:
+        views = await self.ground.views([n for n in self.names if n != but and self.ground.places[n].alive])
+        return list(views.values())
+
+    async def all_say(self, about: str, standing: str) -> None:
+        async def true() -> bool:
+            views = await self.others(about)
+            return bool(views) and all(self.ground.standing(view, about) == standing for view in views)
+
+        await self.ground.until(true, f"all hold {about} for {standing}", 60.0)
+
+    async def together(self) -> None:
+        await self.ground.until(lambda: self.ground.agreed(), "all agree, and nobody is gone who lives", 60.0)
+
+    async def removed(self) -> set[str]:
+        """Whom anybody ever held for gone, by the logs."""
+        found = set()
+        for log in Path(self.folder.name).glob("*.log"):
+            for line in log.read_text(errors="replace").splitlines():
+                if " event=member " in line and " after=gone " in line:
+                    found.add(line.partition(" name=")[2].split()[0])
+        return found
+
+    async def test_the_hard_cases_one_after_another_under_load(self) -> None:
+        ground, names = self.ground, self.names
+        await ground.start(*names)
+        await ground.serving(*names)
+        await self.together()
+        ground.load()
+
+        with self.subTest("one stands still, then three at once"):
+            for sleepers in (["r1"], ["r4", "r5", "r6"]):
+                for name in sleepers:
+                    ground.pause(name)
+                for name in sleepers:
+                    await self.all_say(name, "suspected") if len(sleepers) == 1 else None
+                for name in sleepers:
+                    ground.wake(name)
+                await self.together()
+            self.assertEqual(await self.removed(), set())
+
+        with self.subTest("one hears but is not heard"):
+            ground.switch.put("mute", "r2", "*", cut=True)
+            await self.all_say("r2", "gone")
+            self.assertEqual(await self.removed(), {"r2"})
+            ground.switch.heal("mute")
+            await self.together()
+
+        with self.subTest("one is heard but does not hear"):
+            ground.switch.put("deaf", "*", "r3", cut=True)
+
+            async def cut_off() -> bool:
+                view = await ground.view("r3")
+                return view is not None and view["isolated"]
+
+            await ground.until(cut_off, "r3 knows that it hears nobody")
+            ground.switch.heal("deaf")
+            await self.together()
+            self.assertEqual(await self.removed(), {"r2"})
+
+        with self.subTest("two halves, with a leave in one of them"):
+            half = names[:4]
+            for a in names:
+                for b in names:
+                    if (a in half) != (b in half):
+                        ground.switch.put("halves", a, b, cut=True)
+
+            async def parted() -> bool:
+                views = await ground.views()
+                return all(len(ground.here(view)) <= ROUTERS // 2 for view in views.values())
+
+            await ground.stop("r7")
+            await ground.until(parted, "each half is by itself", 60.0)
+            ground.switch.heal("halves")
+            await self.together()
+
+        with self.subTest("five killed at once, and started again under their names"):
+            killed = names[2:7]
+            before = await ground.view("r0")
+            assert before is not None
+            old = {row["name"]: row["incarnation"] for row in before["members"]}
+            for name in killed:
+                ground.kill(name)
+            await ground.died(*killed)
+            await ground.start("r7", *killed)
+            await ground.serving("r7", *killed)
+            await self.together()
+            after = await ground.view("r0")
+            assert after is not None
+            for row in after["members"]:
+                if row["name"] in killed:
+                    self.assertGreater(row["incarnation"], old[row["name"]])
+
+        counted = await ground.settle()
+        most, when = ground.most_shared()
+        self.assertLessEqual(most, 1.0 + 1e-4, f"at {when}")
+        self.assertEqual((ground.broken, ground.ended_wrong), ([], []))
+        self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
+        self.assertGreater(counted["served"], 100)
+        await ground.close()
+        self.assertEqual(ground.left_running(), 0)
+
+
+class Commands(unittest.TestCase):
+    def test_a_short_run_by_command_leaves_what_it_takes_to_play_it_again(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            words = ["lab", "fleet-run", "quiet", "--routers", "2", "--seed", "3", "--folder", folder]
+            done = subprocess.run(
+                [sys.executable, "-m", "magpieshift", *words, "--json"],
+                capture_output=True, text=True, timeout=120,
+            )  # fmt: skip
+            self.assertEqual(done.returncode, 0, done.stderr + done.stdout)
+            verdict = json.loads(done.stdout.splitlines()[-1])
+            for key in ("routers", "asked", "served", "lost", "rules_broken", "faults", "left_running"):
+                self.assertIn(key, verdict)
+            self.assertEqual((verdict["routers"], verdict["lost"], verdict["left_running"]), (2, 0, 0))
+            left = {path.name for path in Path(folder).iterdir()}
+            self.assertLessEqual({"scenario.json", "verdict.json", "r0.sexp", "r0.1.log"}, left)
+
+    def test_a_scenario_with_mistakes_is_told_all_of_them(self) -> None:
+        with self.assertRaises(Unusable) as caught:
+            scenario.load({"seconds": 5, "routers": 3, "faults": {
+                "a": {"what": "pause", "who": "r7", "at-s": 1},
+                "b": {"what": "cut", "source": "rx", "at-s": 1},
+            }})  # fmt: skip
+        self.assertEqual(len(caught.exception.problems), 2)
+        with self.assertRaises(Unusable):
+            scenario.load({"seconds": 5, "faults": {"a": {"what": "burn", "at-s": 1}}})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/real/test_fleet_logs.py
+++ b/tests/real/test_fleet_logs.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from magpieshift.core.trace import Trace
-from magpieshift.lab import fleet
+from magpieshift.lab.experiments import fleet
 from magpieshift.log import KeyValueFormatter
 from molecleat import interface as api
 from molecleat.control import Router
