Spread refused clients' returns over half their time, and let settings allow second copies

Seen: Kayal's clients who are refused come back; with w drawn from all of the time in which an answer is still of use, who is refused again has no second return. Cause: Router._end. Change: half of that time. Second copies: Engine._attempt held to one attempt whatever second-copies said. Now a copy may go to another store where the settings and the class allow it, one answer ends both.

--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -2,7 +2,8 @@
 
 The engine owns every open request and every attempt. It is told the time, hands the module what has happened
 in one batch, and carries out what the module decides. Whatever the module does, each request gets exactly one
-final answer in time, and no request ever has two attempts out.
+final answer in time, and no request ever has two attempts out, unless the settings and its class allow a
+second copy.
 """
 
 from __future__ import annotations
@@ -67,7 +68,7 @@
         self.op, self.call, self.deadline_us = op, call, deadline_us
         self.cls = cls  # the figures it was taken under, whatever comes into force while it is open
         self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
-        self.out: _Attempt | None = None
+        self.out: list[_Attempt] = []  # two at most, and that only where a copy is allowed
         self.legs = 0
         self.may_have_run = self.owns_ident = False
 
@@ -337,7 +338,7 @@
         Requests it had not come to are covered by their deadline."""
         for item in said:
             request = self._requests.get(getattr(item, "id", 0))
-            if request is not None and request.reply is not None and request.out is None:
+            if request is not None and request.reply is not None and not request.out:
                 self._close(request, self._sorry(request))
                 self._post(api.Hangup(request.op))
 
@@ -353,8 +354,9 @@
                 self._answer(action.id, Answer(Verdict.FAILED))
             case api.Cancel():
                 request = self._requests.get(action.id)
-                if request is not None and request.out and request.out.number == action.attempt:
-                    self._give_up(request.out, Outcome.CANCELLED)
+                for attempt in list(request.out) if request is not None else ():
+                    if attempt.number == action.attempt:
+                        self._give_up(attempt, Outcome.CANCELLED)
             case api.SetTimer(delay_us=delay, token=token):
                 self._clock.after(delay, lambda: self._post(api.Elapsed(token)))
             case api.Probe():
@@ -388,12 +390,12 @@
         if request is None:
             log.error("attempt for an unknown request", extra=fields(op=op))
             return
-        if request.out is not None:  # never two at once, whatever the module believes
+        if request.out and not self._copy_is_allowed(request, store):  # whatever the module believes
             log.error("attempt while one is out", extra=fields(op=op, id=request.call.ident))
-            self._give_up(request.out, Outcome.CANCELLED)
+            self._give_up_all(request)
         attempt = _Attempt(request, request.legs, store, now)
         request.legs += 1
-        request.out = attempt
+        request.out.append(attempt)
         left = request.deadline_us - now
         timeout_us = min(timeout_us or left, left)
         if request.reply is None or timeout_us <= 0 or attempt.number >= self._settings.max_attempts:
@@ -410,6 +412,16 @@
         order = Order(call, target, by, keep, age_us, mode, deadline, may_go)
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
+    def _copy_is_allowed(self, request: _Open, store: int) -> bool:
+        """Whether a second copy may run beside the first: the settings say so, it does no harm to run twice,
+        and it goes elsewhere, for a store knows a request by its id."""
+        may = self._settings.second_copies and request.cls.effect == Effect.FREE
+        return may and len(request.out) == 1 and request.out[0].store != store
+
+    def _give_up_all(self, request: _Open) -> None:
+        for attempt in list(request.out):
+            self._give_up(attempt, Outcome.CANCELLED)
+
     def _may_go(self, store: int, source: int) -> bool:
         """Whether the list allows an order. Asked again when one that had to wait for its connection is about
         to be written: its store or source may drain by then, and the rule counts from when we were told."""
@@ -421,7 +433,7 @@
 
     def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
         """Call off an attempt that is out."""
-        if attempt.request.out is not attempt:
+        if attempt not in attempt.request.out:
             return
         reached = attempt.exchange.give_up() if attempt.exchange is not None else False
         if outcome == Outcome.TIMEOUT and not reached:
@@ -431,9 +443,9 @@
     def _settle(self, attempt: _Attempt, result: Result) -> None:
         """The one place where an attempt ends: its slot, its timer and its exchange are given back here."""
         request = attempt.request
-        if request.out is not attempt:
+        if attempt not in request.out:
             return  # a late answer
-        request.out = None
+        request.out.remove(attempt)
         if attempt.timer is not None:
             attempt.timer.cancel()
         attempt.exchange = attempt.timer = None
@@ -453,7 +465,7 @@
     def _refusal_is_lawful(self, request: _Open) -> bool:
         cls = request.cls
         dropped_by_all = cls.effect == Effect.KEYED and cls.scope == Scope.ALL
-        never_ran = not request.may_have_run and request.out is None
+        never_ran = not request.may_have_run and not request.out
         return cls.effect == Effect.FREE or dropped_by_all or never_ran
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -491,8 +503,7 @@
             self._idents.discard(request.call.ident)
             request.owns_ident = False
         self.held -= len(request.call.body)
-        if request.out is not None:
-            self._give_up(request.out, Outcome.CANCELLED)
+        self._give_up_all(request)
         if request.call.body:
             request.call = replace(request.call, body=b"")
         if answer is not None and reply is not None:
--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -422,7 +422,7 @@
         by_all = job.cls.effect == Effect.KEYED and job.cls.scope == Scope.ALL
         harmless = by_all or job.cls.effect == Effect.FREE or (job.ran is None and job.out < 0)
         spare = job.due_us - self.fill_us[job.req.cls] - self.now  # in which coming back is still of use:
-        after = spare * self.random.random() if spare > 0 else self.cfg.max_retry_after_us  # not all at once
+        after = spare * self.random.random() / 2 if spare > 0 else self.cfg.max_retry_after_us  # and again
         no = api.Refuse(job.req.id, int(after))
         self.actions.append(no if harmless else api.Fail(job.req.id))
         if job.out >= 0 and self.cfg.may_cancel:
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -141,6 +141,40 @@
         self.clock.run()
         self.assertEqual(self.ended()[0], (0, Outcome.CANCELLED, False))
 
+    def test_a_second_copy_runs_only_where_settings_and_class_allow_it(self) -> None:
+        """The rule on two attempts is a setting (Kayal allows copies), and one answer ends both."""
+        cache, origin = (member.entry.store for member in self.members)
+        for allowed, call, to, copies in (
+            (False, CALL, origin, False), (True, CALL, origin, True), (True, CALL, cache, False),
+            (True, WRITE, cache, False), (False, WRITE, cache, False),
+        ):  # fmt: skip
+            with self.subTest(allowed=allowed, cls=call.class_name, to=to):
+                self.setUp()
+                self.engine._run_on(replace(self.engine._settings, second_copies=allowed), frozenset())
+                op = self.ask(call)
+                self.force = [api.Send(op, to, SECOND)]
+                self.engine.purged("", 1, self.clock.now)
+                self.engine.flush()
+                first, second = self.back.orders
+                self.assertEqual(self.back.quit, [] if copies else [first[0]])
+                second[1](Result(Outcome.OK, body=b"copy"))
+                first[1](Result(Outcome.OK, body=b"late"))
+                self.clock.run()
+                self.assertEqual([a.body for a in self.answers], [b"copy"])
+                self.assertEqual(self.back.quit, [first[0]])
+                self.assertEqual({end[:2] for end in self.ended()}, {(0, Outcome.CANCELLED), (1, Outcome.OK)})
+                self.assertEqual(self.engine._requests[op].out, [])
+
+    def test_with_a_copy_out_the_deadline_ends_both(self) -> None:
+        self.engine._run_on(replace(self.engine._settings, second_copies=True), frozenset())
+        op = self.ask()
+        self.force = [api.Send(op, self.members[1].entry.store, 0)]
+        self.engine.purged("", 1, self.clock.now)
+        self.engine.flush()
+        self.clock.run(4 * SECOND)
+        self.assertEqual(([a.verdict for a in self.answers], self.engine._requests), ([Verdict.REFUSED], {}))
+        self.assertEqual(len(self.back.quit), 2)
+
     def test_the_client_leaves(self) -> None:
         op = self.ask()
         self.engine.abandon(op)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -28,14 +28,16 @@
 
 
 def test_clients_turned_away_by_all_routers_at_once_come_back_spread_and_in_time() -> None:
-    long = a_class(aim_us=2 * SECOND, aim_stretch=0.0)
-    for size in (1, 4, 40):
-        told = [refusals(world) for world in fleet(size, long, max_retry_after_us=5 * SECOND)]
-        waits = sorted(no.retry_after_us for each in told for no in each)
-        assert len(waits) >= size and waits[-1] < 2 * SECOND  # all while an answer is still of use
-        window = 2 * SECOND // 4
-        most = max(sum(1 for w in waits if at <= w < at + window) for at in waits)
-        assert most <= len(waits) / 2 + 3
+    """Spread over half of the time in which an answer is of use: who is turned away again can return once
+    more (Kayal's overloaded days: all of that time cost 0.017)."""
+    for long in (a_class(aim_us=2 * SECOND, aim_stretch=0.0), a_class(aim_us=SECOND, aim_stretch=10.0)):
+        for size in (1, 4, 40):
+            told = [refusals(world) for world in fleet(size, long, max_retry_after_us=5 * SECOND)]
+            waits = sorted(no.retry_after_us for each in told for no in each)
+            assert len(waits) >= size and 0.7 * SECOND < waits[-1] < 1 * SECOND
+            window = SECOND // 4
+            most = max(sum(1 for w in waits if at <= w < at + window) for at in waits)
+            assert most <= len(waits) / 2 + 3
 
 
 def test_who_is_turned_away_too_late_for_its_aim_is_told_to_stay_away() -> None:
