--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -214,7 +214,7 @@
             from magpieshift.console.door import Door
 
             self._claim = Claim(self.document.listen)
-            self._look_round()
+            self.look_round()
             self._door = Door(self.lifecycle, self.calls)
             self._door.open(self.document.console)
         self._feed.start()
@@ -236,7 +236,7 @@
         """The lifecycle went on."""
         if self._claim is not None:
             self._claim.serve(state == State.SERVING)
-        self._look_round()
+        self.look_round()
         if state == State.SERVING:
             pairs = {"version": self.version} if self.version else {}
             log.info("ready", extra=fields(name=self.document.name, seq=self._changes.last, **pairs))
@@ -319,9 +319,9 @@
             await asyncio.sleep(EMPTYING_TIDY_S if self.lifecycle.emptying else TIDY_S)
             self._pool.tidy()
             self._front.tidy()
-            self._look_round()
+            self.look_round()
 
-    def _look_round(self) -> None:
+    def look_round(self) -> None:
         """Whether another process of this router is there: it has its part of the limits."""
         if self._claim is not None:
             self._limits.share(self._claim.another_lives)
--- a/magpieshift/clock.py
+++ b/magpieshift/clock.py
@@ -24,6 +24,23 @@
     def soon(self, call: Callable[[], None]) -> None: ...
 
 
+class Source:
+    """Where a process has its time from, in microseconds."""
+
+    def unix_us(self) -> int:
+        """The system's Unix clock; it may be set back."""
+        return time.time_ns() // 1000
+
+    def steady_us(self) -> int:
+        """A clock that never goes back, runs on while the process is stopped, and is the same in all
+        processes of a machine."""
+        return time.monotonic_ns() // 1000
+
+
+source = Source()
+"""The time of this process; a laboratory may put another in its place before anything is built."""
+
+
 class LoopClock:
     """The clock of the running event loop."""
 
@@ -31,7 +48,7 @@
         self._loop = asyncio.get_running_loop()
 
     def now_us(self) -> int:
-        return time.time_ns() // 1000
+        return source.unix_us()
 
     def after(self, delay_us: int, call: Callable[[], None]) -> Handle:
         return self._loop.call_later(max(delay_us, 0) / 1e6, call)
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -99,7 +99,7 @@
         names: Names = NO_NAMES,
     ) -> None:
         self._settings, self._clock, self._back, self.most_held = settings, clock, back, most_held
-        self._told, self._beside = settings, 0  # as the document says; other processes of this router
+        self._told, self.beside = settings, 0  # as the document says; other processes of this router
         self._divisors: tuple[int, int] | None = None  # in place of the document's routers: all, own zone
         self.lease: Callable[[], None] | None = None  # asked before each batch: a share may have run out
         self._names = names
@@ -219,9 +219,9 @@
         """So many other processes of this router serve for now. The rules see all of them as one, so each
         has its part of the router's part of what a cold store and a source bear: the module divides those by
         the routers there are, and is told of so many times more."""
-        if beside != self._beside:
+        if beside != self.beside:
             self.flush()
-            self._beside = beside
+            self.beside = beside
             self._run_on(self._told, frozenset())
 
     def divide(self, routers: int, here: int) -> None:
@@ -238,8 +238,8 @@
             routers, here = self._divisors
             zones = tuple(here if i == settings.zone else n for i, n in enumerate(settings.zone_routers))
             settings = replace(settings, routers=routers, zone_routers=zones)
-        if self._beside:
-            times = 1 + self._beside
+        if self.beside:
+            times = 1 + self.beside
             zones = tuple(n * times for n in settings.zone_routers)
             settings = replace(settings, routers=settings.routers * times, zone_routers=zones)
         retune(self._router, settings, fresh)
--- a/magpieshift/installation/membership.py
+++ b/magpieshift/installation/membership.py
@@ -7,12 +7,12 @@
 import logging
 import math
 import random
-import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import asdict
 from importlib.metadata import version
 
+from magpieshift import clock
 from magpieshift.app import EdgeRouter
 from magpieshift.config import Document, Members
 from magpieshift.installation.fitting import Plain
@@ -27,6 +27,7 @@
 
 MOST_HISTORY = 64
 MOST_SHOWN = 256  # members in an answer at the door
+BIND_AGAIN_S = 0.25
 
 
 class Membership(Plain):
@@ -36,9 +37,9 @@
 
     def __init__(self, router: EdgeRouter, settings: Members, seed: int) -> None:
         self._router, self._settings = router, settings
-        document, rand = router.document, random.Random(seed ^ time.time_ns())
+        document, rand = router.document, random.Random(seed ^ clock.source.unix_us())
         own = Member(
-            document.name, *settings.advertise, time.time_ns() // 1_000_000, rand.getrandbits(32),
+            document.name, *settings.advertise, clock.source.unix_us() // 1_000, rand.getrandbits(32),
             zone=document.names.zones[document.settings.zone], program=version("magpieshift"),
             settings=router.version, state=router.lifecycle.word,
         )  # fmt: skip
@@ -65,13 +66,20 @@
         self._opening = asyncio.ensure_future(self._open())
 
     async def _open(self) -> None:
-        try:
-            bound = await self._driver.open(self._settings.listen)
-        except OSError as err:  # the router serves without: it has what its settings give it
-            where = "{}:{}".format(*self._settings.listen)
-            log.error("members not joined", extra=fields(address=where, reason=err))
-        else:
-            log.info("members open", extra=fields(address="{}:{}".format(*bound), fleet=self._settings.fleet))
+        """Bind and join. While this process replaces another, that one still has the address."""
+        where, told = "{}:{}".format(*self._settings.listen), False
+        while True:
+            try:
+                bound = await self._driver.open(self._settings.listen)
+            except OSError as err:  # the router serves without: it has what its settings give it
+                if not told:
+                    log.warning("members not joined yet", extra=fields(address=where, reason=err))
+                told = True
+                await asyncio.sleep(BIND_AGAIN_S)
+            else:
+                address = "{}:{}".format(*bound)
+                log.info("members open", extra=fields(address=address, fleet=self._settings.fleet))
+                return
 
     def changed(self, document: Document, version: int) -> None:
         self._shares.slots = self._slots(document)
@@ -83,6 +91,7 @@
 
     async def end(self) -> None:
         if self._opening is not None:
+            self._opening.cancel()
             await asyncio.wait([self._opening])
         self._driver.close()
         self._router.engine.lease = None
@@ -107,16 +116,17 @@
 
     def _check(self) -> None:
         """What may be used at this instant, rounded to the safe side, is what the engine divides by. It is
-        asked before each batch as well: a process that has just woken acts on nothing that ran out."""
+        asked before each batch as well: a process that has just woken acts on nothing that ran out, and one
+        that is being replaced leaves its successor its part from the first batch on."""
+        self._router.look_round()
         now = steady_us()
-        share = self._shares.share(ALL, now)
-        if share != self._share:
-            self._share = share
-            log.info("share", extra=fields(at_us=now, share=f"{share:.6f}", here=self._detector.view.count))
-        divisors = [
-            math.ceil(1 / share - 1e-9) if (share := self._shares.share(scope, now)) > 0 else 1 << 20
-            for scope in (ALL, self._scope)
-        ]
+        shares = [self._shares.share(scope, now) for scope in (ALL, self._scope)]
+        # the engine has each process of this router take its part of that
+        used = shares[0] / (1 + self._router.engine.beside)
+        if used != self._share:
+            self._share = used
+            log.info("share", extra=fields(at_us=now, share=f"{used:.6f}", here=self._detector.view.count))
+        divisors = [math.ceil(1 / share - 1e-9) if share > 0 else 1 << 20 for share in shares]
         self._router.engine.divide(divisors[0], divisors[1])
 
     def _changed(self, change: Change) -> None:
--- a/magpieshift/members/driver.py
+++ b/magpieshift/members/driver.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
+from magpieshift import clock
 from magpieshift.log import fields
 from magpieshift.members.codec import Malformed, decode, encode
 from magpieshift.members.detector import TURN_US, Detector
@@ -21,7 +21,7 @@
 
 def steady_us() -> int:
     """A clock that never goes back and runs on while the process is stopped; no wall clock is needed."""
-    return time.monotonic_ns() // 1000
+    return clock.source.steady_us()
 
 
 class Driver(asyncio.DatagramProtocol):
