--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -97,6 +97,36 @@
             click.echo(json.dumps(row))
 
 
+@click.command("overload", epilog="\b\nExample:\n  magpieshift lab overload --scenario origin-half --json")
+@click.option("--scenario", default="", help="One of them; all where none is named.")
+@click.option("--routers", default=40, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--load", default=1.0, show_default=True, help="Times what the installation was made for.")
+@click.option("--map", "whole", is_flag=True, help="Instead: loads, triggers and clients, one by one.")
+@JSON
+def lab_overload(
+    scenario: str, routers: int, seed: int, load: float, whole: bool, as_json: bool
+) -> None:
+    """Overload on a simulated fleet of real engines and modules: what all routers do together."""
+    import os
+
+    from magpieshift.cli import show
+    from magpieshift.lab.experiments.overload import SCENARIOS, map_of, play
+    from magpieshift.lab.simulated.fleet import Form
+
+    if scenario and scenario not in SCENARIOS:
+        raise click.UsageError(f"--scenario: found {scenario}, expected one of {', '.join(SCENARIOS)}")
+    form = Form(routers=routers, seed=seed, load=load)
+    if whole:
+        return show.rows([vars(point) for point in map_of(form, os.cpu_count() or 1)], as_json)
+    for name in [scenario] if scenario else SCENARIOS:
+        row = play(name, form).row()
+        if as_json:
+            click.echo(json.dumps(row))
+        else:
+            show.rows([row], False)
+
+
 @click.command("fleet-run", epilog="\b\nExample:\n  magpieshift lab fleet-run paused --seed 2 --json")
 @click.argument("scenario", required=False)
 @click.option("--routers", default=0, help="In place of the scenario's.")
--- /dev/null
+++ b/magpieshift/lab/simulated/fleet.py
@@ -0,0 +1,281 @@
+"""A fleet of routers with their clients and stores on one fake clock.
+
+Routers are the real engine and module. Clients come to their zone's routers at random, in open arrivals; a
+refused or failed one tries again, some after the time they were told and some at once. Fronts notice a dead
+router after half a second, and spread its clients over the rest of its zone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+import numpy as np
+
+from magpieshift.config import Document
+from magpieshift.control.schema import load_data
+from magpieshift.core.engine import Engine
+from magpieshift.core.model import Answer, Call, Member, Verdict, store_number
+from magpieshift.lab.simulated.stores import HERE, Account, Back, Figures, Link, Store, Stores
+from magpieshift.lab.simulated.time import RouterClock, Time
+from molecleat import interface as api
+from molecleat.interface import Phase
+
+SECOND = 1_000_000
+NOTICED_US = 500_000  # by a front, that a router has died
+KINDS = ("box", "upper", "source")
+PICTURE, BASKET = "picture", "basket"
+
+
+@dataclass(frozen=True)
+class Form:
+    """What is simulated; rates are per second over the whole fleet."""
+
+    routers: int = 40
+    zones: int = 4
+    boxes: int = 4  # in each zone
+    parents: int = 4
+    rate_each: float = 10.0  # of each router, which stores and links are made for
+    load: float = 1.0  # times that
+    objects: int = 4_000
+    skew: float = 1.1  # of how objects are asked for
+    size_kb: float = 30.0
+    writes: float = 0.05  # share of requests
+    tries: int = 4  # of a client, the first included
+    patient: float = 0.5  # share of clients who come back when they were told, the rest come at once
+    room: float = 1.2  # what stores and links bear, in times of the rate
+    seed: int = 1
+
+    @property
+    def made_for(self) -> float:
+        return self.rate_each * self.routers
+
+
+@dataclass
+class Router:
+    """One router: its engine, and whether it is there."""
+
+    name: str
+    zone: int
+    clock: RouterClock
+    engine: Engine
+    alive: bool = True
+
+
+@dataclass
+class Wish:
+    """A client's request, through all its tries."""
+
+    cls: str
+    key: str
+    second: int  # in which it was first asked
+    zone: int
+    due_us: int
+    tries: int = 1
+    refused_at: str = ""  # the last router that refused it
+
+
+@dataclass
+class Seen:
+    """What is counted over the whole of a run."""
+
+    seconds: list[Account] = field(default_factory=list)
+    refused_then_served: int = 0
+    refused_wishes: int = 0
+    broken: list[str] = field(default_factory=list)
+
+
+class Fleet:
+    """Owner of the clock, the stores, the routers and the clients."""
+
+    def __init__(self, form: Form) -> None:
+        self.form = form
+        self.time = Time()
+        self.rand = random.Random(form.seed)
+        self._draw = np.random.default_rng(form.seed)
+        self.seen = Seen()
+        self.stores = Stores(self.time, self.account)
+        self.rate = form.made_for * form.load
+        self.routers: dict[str, Router] = {}
+        self._idents = 0
+        self._keys: list[int] = []
+        self._build_stores()
+        for number in range(form.routers):
+            self.start(f"r{number}")
+        self.time.after(0, self._arrive)
+
+    def account(self) -> Account:
+        """That of the present second."""
+        seconds = self.seen.seconds
+        while len(seconds) <= self.time.second:
+            seconds.append(Account())
+        return seconds[self.time.second]
+
+    # --- the installation
+
+    def _build_stores(self) -> None:
+        form, bears = self.form, self.form.room
+        kb_per_s = form.made_for * form.size_kb
+        box = Figures(max(2, round(bears * kb_per_s / 10_000 / (form.zones * form.boxes) * 4)), 100.0)
+        box_keeps = max(20, int(form.objects * 0.4 / form.boxes))
+        misses = 0.55 * form.made_for  # about what boxes of this size lack
+        parent = Figures(max(2, round(bears * misses * 0.02 / form.parents * 2)), least_us=20_000.0)
+        origin = Figures(max(3, round(bears * misses * 0.7 * 0.05 + form.writes * form.made_for * 0.05)),
+                         least_us=50_000.0, waiting=32)  # fmt: skip
+        for zone in range(form.zones):
+            self.stores.links[zone + 1] = Link(self.time, bears * misses * form.size_kb / form.zones)
+            for number in range(form.boxes):
+                self._add(f"box-{zone}-{number}", 0, zone + 1, box, box_keeps)
+        for number in range(form.parents):
+            self._add(f"hub-{number}", 1, 0, parent, max(20, int(form.objects * 0.8 / form.parents)))
+        self._add("origin", 2, 0, origin, 0)
+
+    def _add(self, ident: str, kind: int, zone: int, figures: Figures, keeps: int) -> None:
+        entry = api.Entry(store_number(ident), zone, kind, len(self.stores.by_name), Phase.READY, 4.0, 0)
+        listed = Member(ident, ("127.0.0.1", 1), entry)
+        figures = Figures(figures.slots, figures.us_per_kb, figures.least_us, figures.waiting, keeps)
+        self.stores.by_name[ident] = Store(
+            listed, figures, self.time, random.Random(f"{self.form.seed} {ident}"), self.account
+        )
+
+    def _document(self, number: int) -> Document:
+        form = self.form
+        here = form.routers // form.zones
+        picture = {"aim-ms": 500, "aim-stretch": 1, "deadline-ms": 3000, "in-parts": True, "worth": 2}
+        basket = {"aim-ms": 700, "deadline-ms": 3000, "effect": "keyed", "dedup-ms": 5000, "write": True,
+                  "worth": 3}  # fmt: skip
+        zones = {f"z{zone}": {"routers": here, "attached-to": "hub"} for zone in range(form.zones)}
+        link = int(self.stores.links[1].kb_per_s)
+        for zone in zones.values():
+            zone["link-kb-per-s"] = link
+        return load_data({
+            "name": f"r{number}", "listen": "127.0.0.1:1", "change-log": "127.0.0.1:2",
+            "limits": {"memory-mb": 64, "sockets": 512},
+            "zone": f"z{number % form.zones}", "zones": {"hub": {"routers": 0}} | zones,
+            "routers": form.routers, "router-index": number, "client-kb-per-s": 10_000,
+            "kinds": list(KINDS), "parent-kind": KINDS[1], "origin-kind": KINDS[2],
+            "classes": {PICTURE: picture, BASKET: basket},
+        }).document  # fmt: skip
+
+    def start(self, name: str) -> Router:
+        """A process of this name, which knows nothing."""
+        number = int(name[1:])
+        document = self._document(number)
+        settings, clock = document.settings, RouterClock(self.time)
+        seed = self.form.seed * 1000 + number
+        back = Back(self.stores, lambda: not clock.dead)
+        engine = Engine(settings, seed, clock, back, names=document.names)
+        router = self.routers[name] = Router(name, settings.zone, clock, engine)
+        members = [store.listed for store in self.stores.by_name.values()]
+        engine.list_changed(api.ListKind.CACHED, 1, members)
+        return router
+
+    # --- what may happen
+
+    def kill(self, name: str) -> None:
+        """It dies with all it held; its clients notice, their front only after a while."""
+        router = self.routers[name]
+        router.clock.dead = True
+        self.time.after(NOTICED_US, partial(setattr, router, "alive", False))
+
+    def pause(self, name: str, for_us: int) -> None:
+        self.routers[name].clock.asleep_until_us = self.time.now_us + for_us
+
+    def fail(self, ident: str, state: str) -> None:
+        """A store dies, falls silent, or is back, empty."""
+        store = self.stores.by_name[ident]
+        if state == HERE:
+            store.holds.clear()
+        store.state = state
+
+    # --- clients
+
+    def _arrive(self) -> None:
+        """One client asks, and the next is on its way."""
+        self.time.after(float(self._draw.exponential(SECOND / self.rate)), self._arrive)
+        zone = self.rand.randrange(self.form.zones) + 1
+        cls = BASKET if self.rand.random() < self.form.writes else PICTURE
+        key = f"{int(self._draw.zipf(self.form.skew)) % self.form.objects + 1:016x}"
+        wish = Wish(cls, key, self.time.second, zone, self.time.now_us + 800_000)
+        account = self.account()
+        account.asked += 1
+        account.by_class.setdefault(cls, [0, 0])[0] += 1
+        self._try(wish)
+
+    def _router_for(self, zone: int) -> Router | None:
+        there = [router for router in self.routers.values() if router.zone == zone and router.alive]
+        return self.rand.choice(there) if there else None
+
+    def _try(self, wish: Wish) -> None:
+        router = self._router_for(wish.zone)
+        if router is None or router.clock.dead:  # nobody answers there; the client notices soon
+            self.time.after(100_000, lambda: self._again(wish, 0, ""))
+            return
+        self._idents += 1
+        over, asked_us = [False], self.time.now_us
+
+        def reply(answer: Answer) -> None:
+            if over[0]:
+                self.seen.broken.append(f"two answers at {router.name}")
+            over[0] = True
+            self._answered(wish, router, answer)
+
+        def given_up() -> None:
+            if not over[0]:
+                over[0] = True
+                if not router.clock.dead and router.clock.asleep_until_us <= asked_us:  # it stood still
+                    self.seen.broken.append(f"no answer from {router.name}")
+                self._again(wish, 0, "")
+
+        once = f"{self._idents:016x}" if wish.cls == BASKET else ""
+        call = Call(
+            f"{self._idents:016x}", router.engine.classes[wish.cls], wish.cls, wish.key, 0, 1,
+            self.form.size_kb, 3 * SECOND, wish.tries > 1, once, "", b"",
+        )  # fmt: skip
+        if self.time.now_us < router.clock.asleep_until_us:  # it lies in the socket until then
+            self.time.at(router.clock.asleep_until_us, lambda: self._submit(router, call, reply, over))
+        else:
+            self._submit(router, call, reply, over)
+        self.time.after(3.2 * SECOND, given_up)
+
+    def _submit(
+        self, router: Router, call: Call, reply: Callable[[Answer], None], over: list[bool]
+    ) -> None:
+        if not router.clock.dead and not over[0]:
+            router.engine.submit(call, lambda answer: None if over[0] else reply(answer))
+
+    def _answered(self, wish: Wish, router: Router, answer: Answer) -> None:
+        if answer.verdict == Verdict.SERVED:
+            account = self.seen.seconds[wish.second]
+            if self.time.now_us <= wish.due_us:
+                account.served += 1
+                account.by_class[wish.cls][1] += 1
+            else:
+                account.late += 1
+            if wish.refused_at and wish.refused_at != router.name:
+                self.seen.refused_then_served += 1
+            return
+        self.account().refused += 1
+        self.seen.refused_wishes += not wish.refused_at
+        self._again(wish, answer.retry_after_us, router.name)
+
+    def _again(self, wish: Wish, wait_us: int, refused_at: str) -> None:
+        if wish.tries >= self.form.tries or self.time.now_us > wish.due_us + 2 * SECOND:
+            self.account().given_up += 1
+            return
+        wish.tries += 1
+        wish.refused_at = refused_at or wish.refused_at
+        told = wait_us if self.rand.random() < self.form.patient else 50_000
+
+        def back() -> None:
+            self.account().returns += 1
+            self._try(wish)
+
+        self.time.after(max(told, 1_000), back)
+
+    # --- running
+
+    def run(self, seconds: float) -> None:
+        self.time.run(self.time.now_us + int(seconds * SECOND))
