Take back later who comes and goes among the members

Issue: damping for members that come and go. A member that was held to be gone twice within ten minutes is taken back only once it is heard without a gap of 3 s for 5 s, then 10, 20, up to 60 s; the first two returns are at once, so a healed cut still agrees within seconds.

--- a/magpieshift/members/view.py
+++ b/magpieshift/members/view.py
@@ -20,6 +20,9 @@
 MOST_ACCUSERS = 8  # noted of one member: more change nothing
 MOST_TEXT = 64  # characters of a name, zone, version or state
 FORGET_US = 600_000_000  # who has been gone so long is forgotten, and is new if it comes
+FREE_RETURNS = 2  # within FORGET_US, from being gone: who comes and goes more often is taken back later
+STEADY_US, MOST_STEADY_US = 5_000_000, 60_000_000  # heard for so long without a gap, twice as long each time
+GAP_US = 3_000_000
 
 
 class Standing(Enum):
@@ -80,6 +83,8 @@
     since_us: int  # of its standing
     accusers: dict[str, int] = field(default_factory=dict)  # beat after which each heard nothing
     why: str = ""
+    returns: tuple[int, ...] = ()  # when it came back from being gone, lately
+    steady_us: int = -1  # since when it is heard without a gap, while its return is held back
 
     @property
     def here(self) -> bool:
@@ -178,15 +183,29 @@
         if member.left:
             self._go(known, Standing.LEFT, now_us, why)
         elif risen:
-            known.heard_us = now_us
+            gap, known.heard_us = now_us - known.heard_us, now_us
             known.accusers = {} if new_life else {
                 who: beat for who, beat in known.accusers.items() if beat >= member.beat
             }  # fmt: skip
+            if known.standing == Standing.GONE and self._held_back(known, gap, now_us):
+                return moved
             if known.standing != Standing.SUSPECTED or not known.accusers:
                 self._go(known, Standing.ALIVE, now_us, why)
             self._note(known)
         return moved or member.left or risen
 
+    def _held_back(self, known: Known, gap_us: int, now_us: int) -> bool:
+        """Whether one that has come and gone too often has to be heard for a while before it is back: each
+        return moves shares, routes and what others decide, for all."""
+        lately = tuple(at for at in known.returns if now_us - at < FORGET_US)
+        often = len(lately) - FREE_RETURNS
+        if known.steady_us < 0 or gap_us >= GAP_US:
+            known.steady_us = now_us
+        if often >= 0 and now_us - known.steady_us < min(MOST_STEADY_US, STEADY_US << min(often, 8)):
+            return True
+        known.returns, known.steady_us = (*lately, now_us)[-16:], -1
+        return False
+
     def accuse(self, said: Accusation) -> bool:
         """Note an accusation that nothing known refutes; whether it is new."""
         known = self.known.get(said.about)
--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -67,6 +67,27 @@
         self.view.learn(member("a", incarnation=6), 3, "")
         self.assertEqual(self.stands("a"), Standing.ALIVE)
 
+    def test_who_comes_and_goes_is_taken_back_later_each_time(self) -> None:
+        view, now, beat, waits = View(member("a"), 0), 0, 0, []
+        view.learn(member("b"), now, "")
+        for _ in range(6):
+            now += 20_000_000
+            view.stand("b", Standing.GONE, now, "")
+            began = now
+            while view.known["b"].standing == Standing.GONE:
+                now, beat = now + 1_000_000, beat + 1
+                view.learn(member("b", beat=beat), now, "heard")
+            waits.append((now - began) // 1_000_000 - 1)
+        self.assertEqual(waits, [0, 0, 5, 10, 20, 40])
+        view.stand("b", Standing.GONE, now, "")
+        for step in range(30):  # heard again and again, but never for long
+            now += 4_000_000
+            view.learn(member("b", beat=beat + step + 1), now, "heard")
+        self.assertEqual(view.known["b"].standing, Standing.GONE)
+        now += 700_000_000  # and after long it is like any other
+        view.learn(member("b", beat=beat + 100), now, "heard")
+        self.assertEqual(view.known["b"].standing, Standing.ALIVE)
+
     def test_equal_views_have_equal_digests_and_others_not(self) -> None:
         other = View(member("a"), 0)
         self.view.learn(member("a"), 0, "")
