Try overload's hard cases with several processes: rules hold, and service comes back

Six real routers under 150 requests a second: the origin slow, a parent dead and back cold, a cache that errs half the time, four of six killed while another stands still.

--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -428,6 +428,15 @@
             self.loads[name] = load
             self._tasks.append(asyncio.ensure_future(load.run(float("inf"))))
 
+    def service(self, seconds: int = 3) -> float:
+        """The share of what clients asked for that was served, over the last whole seconds whose answers are
+        due; 1 where nothing was asked."""
+        sent = served = 0
+        for load in self.loads.values():
+            for second in load.slices[-seconds - 3 : -3]:
+                sent, served = sent + second.sent, served + second.served
+        return served / sent if sent else 1.0
+
     async def settle(self) -> dict[str, int]:
         """Stop the load, wait for the last answers, count, and ask all checks; what they found is in
         ``broken``."""
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -20,11 +20,11 @@
 What = Literal[
     "pause", "kill", "stop", "step", "rate",
     "cut", "lose", "delay", "double", "reset", "silence", "throttle",
-    "drain", "die", "hang", "slow", "purge", "late-list",
+    "drain", "die", "hang", "slow", "err", "purge", "late-list",
 ]  # fmt: skip
 ON_ROUTERS = ("pause", "kill", "stop", "step", "rate")
 ON_WAYS = ("cut", "lose", "delay", "double", "reset", "silence", "throttle")
-AT_STORES = ("drain", "die", "hang", "slow")  # purges and late lists are of no store
+AT_STORES = ("drain", "die", "hang", "slow", "err")  # purges and late lists are of no store
 
 
 class FaultForm(Form):
@@ -34,7 +34,7 @@
     who: str = ""  # a router or a store's place
     source: str = "*"  # of what happens on a way: routers (all or one), places, log, clients
     target: str = "*"
-    # lose, double: a share; delay, slow: ms; throttle: KB a second; step: seconds; rate: times true
+    # lose, double, err: a share; delay, slow: ms; throttle: KB a second; step: seconds; rate: times true
     by: Annotated[float, Field(ge=-3_600, le=60_000)] = 0.0
 
 
@@ -153,6 +153,14 @@
         "drained": {"what": "drain", "who": "box1", "at-s": 6, "for-s": 2},
         "thin": {"what": "throttle", "source": "*", "target": "origin", "by": 20, "at-s": 10, "for-s": 4},
     }},
+    "overload": {"seconds": 40, "faults": {
+        "slow": {"what": "slow", "who": "origin", "by": 400, "at-s": 3, "for-s": 8},
+        "dead": {"what": "die", "who": "hub1", "at-s": 14, "for-s": 4},
+        "errs": {"what": "err", "who": "box1", "by": 0.5, "at-s": 21, "for-s": 6},
+        "paused": {"what": "pause", "who": "r1", "at-s": 24, "for-s": 5},
+        "killed": {"what": "kill", "who": "r2", "at-s": 29, "for-s": 2},
+        "too": {"what": "kill", "who": "r3", "at-s": 29, "for-s": 2},
+    }},
     "clocks": {"seconds": 25, "faults": {
         "back": {"what": "step", "who": "r1", "by": -30, "at-s": 2, "for-s": 8},
         "ahead": {"what": "step", "who": "r2", "by": 30, "at-s": 3, "for-s": 8},
--- a/magpieshift/lab/standins/emulated.py
+++ b/magpieshift/lab/standins/emulated.py
@@ -140,6 +140,10 @@
                 store.lose = by
                 await asyncio.sleep(for_s)
                 store.lose = 0.0
+            case "err" if store is not None:
+                store.errs = by
+                await asyncio.sleep(for_s)
+                store.errs = 0.0
             case "hang" if store is not None:
                 store.paused.clear()
                 await asyncio.sleep(for_s)
--- a/magpieshift/lab/standins/emulator.py
+++ b/magpieshift/lab/standins/emulator.py
@@ -118,6 +118,7 @@
         self.up_since_ms = 0
         self.slow_ms = 0.0  # a failure: so much longer for each answer
         self.lose = 0.0  # a failure: this share of answers never comes
+        self.errs = 0.0  # a failure: this share is answered with an error
         self.paused = asyncio.Event()
         self.paused.set()
         self.hits = self.fills = self.asked = 0
@@ -229,7 +230,9 @@
             self._rules.ended(ident)  # its end is written right behind
             if self._random.random() < self.lose:
                 return
-            if minted is None:
+            if self._random.random() < self.errs:
+                writer.write(f"{ident} failed - 0\r\n\r\n".encode())
+            elif minted is None:
                 writer.write(f"{ident} absent - 0\r\n\r\n".encode())
             else:
                 body = f"{fields['key']} {fields['part']} {minted} ".encode().ljust(900, b".")
--- /dev/null
+++ b/tests/test_overload_processes.py
@@ -0,0 +1,73 @@
+"""Too much, and too little to bear it, with several real routers: rules hold, and service comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.lab.proving.ground import Ground
+
+ROUTERS = 6
+BACK = 0.95
+
+
+class Overload(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.ground = await self.enterAsyncContext(
+            Ground(Path(folder.name), ROUTERS, rate=25.0, slack_s=1.0, boxes=3, hubs=2)
+        )
+
+    async def back(self, usual: float, after: str) -> None:
+        async def well() -> bool:
+            return self.ground.service() >= BACK * usual
+
+        await asyncio.sleep(6.0)  # until the seconds looked at are those after it
+        await self.ground.until(well, f"service is back after {after}", 60.0)
+
+    async def test_the_hard_cases_one_after_another(self) -> None:
+        ground, names = self.ground, list(self.ground.places)
+        await ground.start(*names)
+        await ground.serving(*names)
+        ground.load()
+        await asyncio.sleep(8.0)  # caches fill
+        usual = ground.service()
+        self.assertGreater(usual, 0.5)
+
+        with self.subTest("the origin is slow for all"):
+            await ground.stores.fail("slow", "origin", 5.0, by=400)
+            await self.back(usual, "a slow origin")
+
+        with self.subTest("a parent dies and returns cold"):
+            await ground.stores.fail("die", "hub1", 3.0)
+            await self.back(usual, "a dead parent")
+
+        with self.subTest("a cache answers every second request with an error"):
+            await ground.stores.fail("err", "box1", 4.0, by=0.5)
+            await self.back(usual, "errors")
+
+        with self.subTest("four of six are killed under load, and another stands still with full queues"):
+            for name in names[2:]:
+                ground.kill(name)
+            await ground.died(*names[2:])
+            ground.pause(names[1])
+            await asyncio.sleep(2.0)
+            await ground.start(*names[2:])
+            await asyncio.sleep(3.0)
+            ground.wake(names[1])
+            await ground.serving(*names[2:])
+            await self.back(usual, "four are killed")
+
+        counted = await ground.settle()
+        self.assertEqual((ground.broken, ground.ended_wrong), ([], []))
+        self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
+        await ground.close()
+        self.assertEqual(ground.left_running(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
