--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -59,12 +59,14 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--minutes", default=2.0, show_default=True, help="Under loss and pauses, simulated.")
 @click.option("--loss", default=0.3, show_default=True, help="Share of datagrams lost meanwhile.")
+@click.option("--deaths", default=5, show_default=True, help="One after another, afterwards.")
 @click.option("--without", type=click.Choice(["health", "observers"]), help="An ablation.")
 @click.option("--explore", default=0, help="Instead: all histories of three, to so many states.")
 @JSON
 def lab_members(
-    routers: str, seed: int, minutes: float, loss: float, without: str | None, explore: int, as_json: bool
-) -> None:
+    routers: str, seed: int, minutes: float, loss: float, deaths: int, without: str | None, explore: int,
+    as_json: bool,
+) -> None:  # fmt: skip
     """Membership on a simulated network: loss, pauses, deaths, a partition and its healing."""
     from magpieshift.cli import show
 
@@ -88,7 +90,10 @@
         tuning = replace(tuning, watched=1, accusers=1)
     rows = []
     for size in (int(word) for word in routers.split(",")):
-        found = play(size, seed, minutes, loss, tuning=tuning, size=lambda datagram: len(encode(datagram)))
+        found = play(
+            size, seed, minutes, loss,
+            tuning=tuning, size=lambda datagram: len(encode(datagram)), deaths=deaths,
+        )  # fmt: skip
         rows.append(vars(found))
         if not as_json:
             show.rows([vars(found)], False)
--- a/magpieshift/lab/experiments/members.py
+++ b/magpieshift/lab/experiments/members.py
@@ -245,10 +245,10 @@
 
 def play(
     routers: int, seed: int, minutes: float = 2.0, loss: float = 0.3, pauses: bool = True,
-    tuning: Tuning | None = None, size: Callable[[Datagram], int] | None = None,
+    tuning: Tuning | None = None, size: Callable[[Datagram], int] | None = None, deaths: int = 5,
 ) -> Outcome:  # fmt: skip
-    """One fleet: quiet for its cost, then loss and pauses of up to 5 s, then deaths, then a partition into
-    halves and its healing."""
+    """One fleet: quiet for its cost, then loss and pauses of up to 5 s, then so many deaths, then
+    a partition into halves and its healing."""
     began = time.perf_counter()
     form = Form(routers, tuning=tuning or Tuning())
     network = grown(form, seed)
@@ -282,7 +282,7 @@
     # deaths, one after another
     noticed: list[float] = []
     gone: list[float] = []
-    for name in network.rand.sample(names, min(5, routers // 3)):
+    for name in network.rand.sample(names, min(deaths, routers // 3)):
         network.kill(name)
         died, mark = network.now_us, len(network.changes)
         network.run(died + 20 * SECOND)
--- a/magpieshift/lab/proving/run.py
+++ b/magpieshift/lab/proving/run.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from magpieshift.lab.proving.ground import UP_S, Ground
-from magpieshift.lab.proving.scenario import ON_ROUTERS, ON_WAYS, Fault, Run
+from magpieshift.lab.proving.scenario import ON_ROUTERS, ON_WAYS, Fault, Run, written
 
 QUIET_S = 30.0  # after the last fault, within which all must agree
 
@@ -50,6 +50,7 @@
 async def play(run: Run, folder: Path, progress: Callable[[str], None] = lambda line: None) -> dict[str, Any]:
     """Play it; the verdict, which is also left in the folder with settings and logs."""
     (folder).mkdir(parents=True, exist_ok=True)
+    (folder / "scenario.sexp").write_text(written(run))  # from which it can be played again
     (folder / "scenario.json").write_text(json.dumps(asdict(run), indent=1))
     verdict: dict[str, Any] = {"routers": run.routers, "seed": run.seed}
     samples: list[dict[str, Any]] = []
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -114,6 +114,21 @@
     return Run(form.seconds, form.seed, form.routers, form.rate, form.alone, form.boxes, form.hubs, ordered)
 
 
+def written(run: Run) -> str:
+    """A run as a file that ``load_file`` reads as the same."""
+    faults = {
+        f.name: {"what": f.what, "at-s": f.at_s, "for-s": f.for_s, "by": f.by}
+        | ({"source": f.source, "target": f.target} if f.what in ON_WAYS else {})
+        | ({"who": f.who} if f.who else {})
+        for f in run.faults
+    }  # fmt: skip
+    data = {
+        "seconds": run.seconds, "seed": run.seed, "routers": run.routers, "rate": run.rate,
+        "alone": run.alone, "boxes": run.boxes, "hubs": run.hubs,
+    }  # fmt: skip
+    return sexp.write(data | ({"faults": faults} if faults else {}), HEAD)
+
+
 def load_file(path: str) -> Run:
     tree = sexp.read(Path(path).read_text(encoding="utf-8"), path, HEAD)
     return load(tree.data, tree.lines)
--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -224,8 +224,18 @@
                 self.assertIn(key, verdict)
             self.assertEqual((verdict["routers"], verdict["lost"], verdict["left_running"]), (2, 0, 0))
             left = {path.name for path in Path(folder).iterdir()}
+            again = scenario.load_file(str(Path(folder) / "scenario.sexp"))
+            self.assertEqual((again.seconds, again.routers, again.seed), (10, 2, 3))
             self.assertLessEqual({"scenario.json", "verdict.json", "r0.sexp", "r0.1.log"}, left)
 
+    def test_every_scenario_that_is_left_behind_is_read_as_the_same(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for name, data in scenario.KNOWN.items():
+                with self.subTest(name):
+                    run, path = scenario.load(data), Path(folder) / "scenario.sexp"
+                    path.write_text(scenario.written(run))
+                    self.assertEqual(scenario.load_file(str(path)), run)
+
     def test_a_scenario_with_mistakes_is_told_all_of_them(self) -> None:
         with self.assertRaises(Unusable) as caught:
             scenario.load({"seconds": 5, "routers": 3, "faults": {
