Let who has judged a member dead say so to one who lacks an accusation of it

Cause: Detector._answer_sync passes on accusations, but who holds a member for gone has dropped them (View._go), so a survivor that lacks one, lost on its way, keeps the member alive for ever. Change: where views differ, who holds it for gone accuses it in its own name. Beside it: the proving ground ends every process it started, also where a replacement failed.

--- a/magpieshift/members/detector.py
+++ b/magpieshift/members/detector.py
@@ -348,7 +348,7 @@
                     continue
                 members.append(known.member)  # the latest of it
             else:
-                stale = known is None or item.accuser not in known.accusers
+                stale = known is None or not (item.accuser in known.accusers or self._judged(known, item))
                 if stale:
                     del self._rumours[key]
                     continue
@@ -360,6 +360,11 @@
                 del self._rumours[key]
         return tuple(members), tuple(accusations)
 
+    def _judged(self, known: Known, said: Accusation) -> bool:
+        """Whether this router itself says so and holds the member for gone by it."""
+        own = said.accuser == self.view.own.name and said.incarnation == known.member.incarnation
+        return own and known.standing == Standing.GONE
+
     def _push(self) -> None:
         """News goes to a few at once; who is accused, or hears little, is heard of by more."""
         fresh = 2 if self._rumours else 0
@@ -576,6 +581,11 @@
         rows = [k for name, k in self.view.known.items() if spot(name) % PARTS in differ]
         rows = self._random.sample(rows, min(len(rows), MOST_SYNCED))
         for known in rows:
+            if known.standing == Standing.GONE:
+                # one who lacks an accusation of it would hold it for alive for ever: nobody else has any left
+                m = known.member
+                said = Accusation(m.name, m.incarnation, m.beat, self.view.own.name)
+                self._rumours[("a", said.about, said.accuser)] = _Rumour(said, 2, self._turn)
             if known.accusers:
                 for who, beat in known.accusers.items():
                     said = Accusation(known.member.name, known.member.incarnation, beat, who)
--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -210,6 +210,19 @@
             self.assertEqual(ground.left_running(), 0)
 
 
+class Ending(unittest.IsolatedAsyncioTestCase):
+    async def test_a_replacement_that_fails_leaves_neither_of_the_two(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            async with Ground(Path(folder), 2) as ground:
+                await ground.start("r1")
+                await ground.serving("r1")
+                (Path(folder) / "r1.sexp").write_text("(edge-router")  # the new one cannot start
+                with self.assertRaises(AssertionError):
+                    await ground.replace("r1", 3.0)
+                self.assertEqual(ground.left_running(), 1)
+            self.assertEqual(ground.left_running(), 0)
+
+
 class Commands(unittest.TestCase):
     def test_a_short_run_by_command_leaves_what_it_takes_to_play_it_again(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
