Let the laboratory's clients heed "no more" and send again what crossed a close

Cause: magpieshift/lab/standins/load.py, Connection. It ignored type 6 and wrote on a connection that the router had told to send no more and then closed (front/server.py, Connection.left: quiet for 0.3 s). Ruled out: the router's own answers (no request that a router had read went without one; its logs have no error), the relays (they carry an end as an end).

Change: a client goes on over a new connection once it is told, and sends what crossed the end of its connection once more. Each lost request is now named in the verdict, with what its client saw.

The new tests fail with the old client.

--- a/magpieshift/lab/proving/checks.py
+++ b/magpieshift/lab/proving/checks.py
@@ -33,6 +33,10 @@
         """What became of the clients' requests."""
         ...
 
+    def missed(self) -> list[str]:
+        """Some of those lost, each in a line."""
+        ...
+
 
 class Check(Protocol):
     """One invariant."""
@@ -60,7 +64,7 @@
         counted = fleet.counted()
         found = []
         if counted["lost"]:
-            found.append(f"{counted['lost']} requests lost")
+            found.append(f"{counted['lost']} requests lost, such as {'; '.join(fleet.missed()[:5])}")
         if counted["doubles"]:
             found.append(f"{counted['doubles']} requests answered twice")
         if counted["sent"] and counted["served"] < counted["sent"] / 10:
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -29,7 +29,7 @@
 from magpieshift.lab.proving.ways import Ways
 from magpieshift.lab.standins import emulated, peers
 from magpieshift.lab.standins.emulator import Rules
-from magpieshift.lab.standins.load import Load
+from magpieshift.lab.standins.load import CROSSED_S, Load
 
 UP_S = 30.0  # generous: a verdict must not hang on the machine's speed
 PROGRAM = (sys.executable, "-m", "magpieshift")
@@ -395,6 +395,10 @@
         found = {kind: sum(getattr(load.total, kind) for load in self.loads.values()) for kind in kinds}
         return found | {"doubles": sum(load.doubles for load in self.loads.values())}
 
+    def missed(self) -> list[str]:
+        """Some of the requests that were lost, each with what its client saw."""
+        return [example for load in self.loads.values() for example in load.missed]
+
     def most_shared(self) -> tuple[float, float]:
         """The most that all shares in use came to at any instant, and when."""
         return checks.Shares().most(self)
@@ -427,6 +431,7 @@
             load = Load(
                 place.clients, self._rate, OBJECTS, self.seed * 1000 + number, self.rules.served, mark,
                 lambda began, name=name: self._excused(name, began),  # type: ignore[misc]
+                CROSSED_S + self.rules.slack_s - SLACK_S,
             )  # fmt: skip
             self.loads[name] = load
             self._tasks.append(asyncio.ensure_future(load.run(float("inf"))))
--- a/magpieshift/lab/standins/load.py
+++ b/magpieshift/lab/standins/load.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import numpy as np
 from hdrh.histogram import HdrHistogram
@@ -32,73 +33,97 @@
     latency_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 2))
 
 
+Answer = tuple[int, dict[str, str], bytes]  # its code, fields and body
+CROSSED_S = 0.05  # what was written so long before an idle connection's end may be sent once more
+MOST_EXAMPLES = 20
+
+
+class Missed(Enum):
+    """Why a request has no answer, in the words of a verdict."""
+
+    UNREACHED = "no connection came up"
+    ENDED = "its connection ended"
+    CROSSED = "it crossed the end of its connection, twice"
+    SILENT = "nothing came in time"
+
+
 @dataclass
 class _Pending:
-    ident: str
-    key: str
-    sent: float
-    done: asyncio.Future[tuple[int, dict[str, str], bytes]]
+    written: float  # on the steady clock
+    done: asyncio.Future[Answer]
 
 
-class Connection:
-    """One client's connection; it is made anew when it ends."""
+class _Link:
+    """One connection of a client, until either end closes it; ``leaving`` once nothing new may go on it."""
 
-    def __init__(self, port: int) -> None:
-        self._port = port
+    def __init__(self, crossed_s: float) -> None:
+        self._crossed_s = crossed_s
         self._writer: asyncio.StreamWriter | None = None
         self._reading: asyncio.Task[None] | None = None
         self._open: dict[int, _Pending] = {}
         self._streams = 0
         self._given_up: set[int] = set()  # streams whose answer nobody waits for any more: it may yet come
-        self._connecting = asyncio.Lock()
+        self.leaving = False
         self.doubles = 0
 
-    async def ask(
-        self, fields: dict[str, str], body: bytes, patience_s: float
-    ) -> tuple[int, dict[str, str], bytes] | None:
-        """The answer's code, fields and body; None where none came."""
-        try:
-            async with self._connecting:
-                if self._writer is None:
-                    reader, self._writer = await asyncio.open_connection("127.0.0.1", self._port)
-                    self._reading = asyncio.ensure_future(self._read(reader))
-                    self._streams = 0
-                    self._given_up.clear()
-        except OSError:
-            return None
+    async def connect(self, port: int) -> None:
+        reader, self._writer = await asyncio.open_connection("127.0.0.1", port)
+        self._reading = asyncio.ensure_future(self._read(reader))
+
+    async def ask(self, fields: dict[str, str], body: bytes, patience_s: float) -> Answer | Missed:
+        if self._writer is None:  # it ended since it was chosen; nothing was written
+            return Missed.CROSSED
         self._streams += 1
         stream = self._streams
-        done: asyncio.Future[tuple[int, dict[str, str], bytes]] = asyncio.get_running_loop().create_future()
-        self._open[stream] = _Pending(fields["i"], fields["o"], time.time(), done)
+        done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        pending = self._open[stream] = _Pending(time.monotonic(), done)
         self._writer.write(frames.head(Type.REQUEST, stream, frames.write_fields(fields), len(body)) + body)
         try:
             async with asyncio.timeout(patience_s + 1.0):
                 return await done
         except TimeoutError:
             self._given_up.add(stream)
-            return None
+            return Missed.SILENT
         except ConnectionError:
-            return None
+            lately = time.monotonic() - pending.written <= self._crossed_s
+            return Missed.CROSSED if lately else Missed.ENDED
         finally:
             self._open.pop(stream, None)
+            self._part()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         parser = frames.FrameParser()
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
                 for frame in parser.feed(data):
-                    if frame.type == Type.ANSWER:
-                        pending = self._open.pop(frame.stream, None)
-                        if pending is None and frame.stream in self._given_up:
-                            self._given_up.discard(frame.stream)
-                        elif pending is None:
-                            self.doubles += 1
-                        elif not pending.done.done():
-                            fields, at = frames.read_fields(frame.payload[1:])
-                            pending.done.set_result((frame.payload[0], fields, frame.payload[1 + at :]))
+                    if frame.type == Type.NO_MORE:
+                        self.leaving = True
+                        self._part()
+                    elif frame.type == Type.ANSWER:
+                        self._answered(frame)
         self.close()
 
+    def _answered(self, frame: frames.Frame) -> None:
+        pending = self._open.pop(frame.stream, None)
+        if pending is None and frame.stream in self._given_up:
+            self._given_up.discard(frame.stream)
+        elif pending is None:
+            self.doubles += 1
+        elif not pending.done.done():
+            fields, at = frames.read_fields(frame.payload[1:])
+            pending.done.set_result((frame.payload[0], fields, frame.payload[1 + at :]))
+
+    def _part(self) -> None:
+        """Who was told to send no more leaves once nothing is open."""
+        if self.leaving and not self._open and not self._given_up:
+            self.close()
+
+    @property
+    def over(self) -> bool:
+        return self._writer is None
+
     def close(self) -> None:
+        self.leaving = True
         if self._writer is not None:
             self._writer.close()
             self._writer = None
@@ -107,6 +132,53 @@
                 pending.done.set_exception(ConnectionError())
 
 
+class Connection:
+    """One client, as the protocol page has it: it goes on over a new connection once it is told to send no
+    more on the one it has, and sends a request that crossed a connection's end once more. The loss of
+    what a router had read is not hidden by that: stores judge what then comes to them twice.
+
+    ``crossed_s``: how long before its connection's end a request was written at most to be sent again."""
+
+    def __init__(self, port: int, crossed_s: float = CROSSED_S) -> None:
+        self._port, self._crossed_s = port, crossed_s
+        self._link: _Link | None = None
+        self._links: list[_Link] = []  # all that are not over
+        self._connecting = asyncio.Lock()
+        self._doubles = 0  # on connections that are over
+
+    @property
+    def doubles(self) -> int:
+        return self._doubles + sum(link.doubles for link in self._links)
+
+    async def ask(self, fields: dict[str, str], body: bytes, patience_s: float) -> Answer | Missed:
+        """The answer, or why there is none."""
+        for _ in range(2):
+            try:
+                async with self._connecting:
+                    if self._link is None or self._link.leaving:
+                        self._link = await self._connect()
+                    link = self._link
+            except OSError:
+                return Missed.UNREACHED
+            answer = await link.ask(fields, body, patience_s)
+            if answer is not Missed.CROSSED:
+                break
+        return answer
+
+    async def _connect(self) -> _Link:
+        for over in [link for link in self._links if link.over]:
+            self._doubles += over.doubles
+            self._links.remove(over)
+        link = _Link(self._crossed_s)
+        await link.connect(self._port)
+        self._links.append(link)
+        return link
+
+    def close(self) -> None:
+        for link in self._links:
+            link.close()
+
+
 class Load:
     """All clients of one router; ``served`` is told each copy: object, when it was minted, when it was asked
     for, and the request's id, which begins with ``mark``. ``excused`` tells whether a request of that moment
@@ -115,16 +187,17 @@
     def __init__(
         self, port: int, rate: float, objects: int, seed: int,
         served: Callable[[str, int, float, str], None], mark: str = "",
-        excused: Callable[[float], bool] = lambda began: False,
+        excused: Callable[[float], bool] = lambda began: False, crossed_s: float = CROSSED_S,
     ) -> None:  # fmt: skip
         self._rate, self._objects, self._served = rate, objects, served
         self._mark, self._excused, self._settled = mark, excused, False
         self._draw, self._random = np.random.default_rng(seed), random.Random(seed)
-        self._connections = [Connection(port) for _ in range(8)]
+        self._connections = [Connection(port, crossed_s) for _ in range(8)]
         self._sessions: set[asyncio.Task[None]] = set()
         self.slices: list[Second] = []
         self.total = Second()
         self.retries = 0
+        self.missed: list[str] = []  # some of those lost, each with what is known of it
         self._began = time.monotonic()
 
     @property
@@ -185,9 +258,12 @@
             body = b"" if name == "picture" else b"eggs"
             answer = await connection.ask(fields, body, PATIENCE_MS[name] / 1000)
             took = max(1, int(1e6 * (time.monotonic() - began)))
+            excused = isinstance(answer, Missed) and self._excused(began)
+            if isinstance(answer, Missed) and not excused and len(self.missed) < MOST_EXAMPLES:
+                after = f"{name} at {began:.3f}, after {took / 1e6:.3f} s"
+                self.missed.append(f"{ident} ({after}): {answer.value}")
             for counts in self._slice():
-                if answer is None:
-                    excused = self._excused(began)
+                if isinstance(answer, Missed):
                     counts.lost += not excused
                     counts.cut += excused
                 else:
@@ -196,10 +272,12 @@
                     counts.failed += answer[0] == Code.FAILED
                     if answer[0] == Code.OK:
                         counts.latency_us.record_value(min(took, 59_000_000))
-            if answer is None or answer[0] != Code.REFUSED:
-                if answer is not None and answer[0] == Code.OK and name == "picture":
+            if isinstance(answer, Missed):
+                return False
+            if answer[0] != Code.REFUSED:
+                if answer[0] == Code.OK and name == "picture":
                     words = answer[2].split(b" ", 3)
                     self._served(key, int(words[2]), sent, ident)
-                return answer is not None and answer[0] == Code.OK
+                return answer[0] == Code.OK
             await asyncio.sleep(int(answer[1].get("w", "100")) / 1000)
         return False
--- a/tests/members/test_ground.py
+++ b/tests/members/test_ground.py
@@ -11,10 +11,13 @@
 from pathlib import Path
 from unittest import mock
 
+from magpieshift.front import frames
+from magpieshift.front.frames import Code, Type
 from magpieshift.lab.proving import checks, skewed
 from magpieshift.lab.proving.relay import Relay
 from magpieshift.lab.proving.ways import ROUTERS, Ways
 from magpieshift.lab.standins.emulator import Rules
+from magpieshift.lab.standins.load import Connection, Missed
 
 GENEROUS_S = 20.0
 
@@ -37,6 +40,9 @@
     def counted(self) -> Mapping[str, int]:
         return self.counts
 
+    def missed(self) -> list[str]:
+        return ["one"]
+
     def log(self, name: str, *shares: tuple[float, float]) -> None:
         lines = [f"x event=share at_us={int(at * 1e6)} share={share:.6f} here=2" for at, share in shares]
         (self.folder / f"{name}.log").write_text("\n".join(lines))
@@ -183,6 +189,53 @@
             self.assertEqual(await reader.readexactly(3), b"one")
 
 
+class Clients(unittest.IsolatedAsyncioTestCase):
+    """The laboratory's clients do what the protocol page says of clients: what they call lost is lost."""
+
+    async def asyncSetUp(self) -> None:
+        self.asked: list[list[int]] = []  # streams, by connection
+        self.ways_out = ["tell", "drop"]  # what the router does on its first connections
+        self.server = await asyncio.start_server(self.router, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        self.client = Connection(self.server.sockets[0].getsockname()[1], crossed_s=GENEROUS_S)
+        self.addCleanup(self.client.close)
+
+    async def router(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        streams: list[int] = []
+        self.asked.append(streams)
+        parser, way = frames.FrameParser(), self.ways_out.pop(0) if self.ways_out else ""
+        while data := await reader.read(1024):
+            for frame in parser.feed(data):
+                streams.append(frame.stream)
+                if way == "drop":
+                    writer.close()
+                    return
+                told = frames.head(Type.NO_MORE, 0) if way == "tell" else b""
+                writer.write(told + frames.answer_head(frame.stream, Code.OK, {}, 0))
+        writer.close()
+
+    async def ask(self) -> object:
+        answer = await self.client.ask({"i": "0" * 16, "o": "1" * 16}, b"", GENEROUS_S)
+        return answer if isinstance(answer, Missed) else answer[0]
+
+    async def test_who_is_told_to_send_no_more_goes_on_elsewhere_and_sends_again_what_crossed(self) -> None:
+        self.assertEqual(await self.ask(), Code.OK)  # and is told to send no more
+        self.assertEqual(await self.ask(), Code.OK)  # crosses the end of the second, and goes on a third
+        self.assertEqual(await self.ask(), Code.OK)
+        self.assertEqual(self.asked, [[1], [1], [1, 2]])
+
+    async def test_what_is_dropped_twice_or_long_after_it_was_sent_is_lost(self) -> None:
+        self.ways_out = ["drop", "drop", "drop"]
+        self.assertEqual(await self.ask(), Missed.CROSSED)
+        self.client = Connection(self.server.sockets[0].getsockname()[1], crossed_s=0.0)
+        self.assertEqual(await self.ask(), Missed.ENDED)
+        self.assertEqual(self.asked, [[1]] * 3)
+
+    async def test_where_nobody_listens_nothing_was_sent(self) -> None:
+        self.server.close()
+        self.assertEqual(await self.ask(), Missed.UNREACHED)
+
+
 class Clocks(unittest.TestCase):
     def test_a_bent_clock_never_goes_back_and_only_the_wall_clock_is_stepped(self) -> None:
         with tempfile.TemporaryDirectory() as folder, mock.patch("time.monotonic_ns") as true:
