Keep a router that has ended from taking its whole part back beside its successor

The log of the old process: "ended", 5 ms later "limits not shared" and share 0.25, while its successor already used 0.125.

Cause: app.py, EdgeRouter.close lets go of the claim but keeps it, and a claim that is closed says that no other process lives (claim.py, _another). Membership looks once more after the router has ended (installation/membership.py, _check), so the limits and the share doubled. Nothing was sent on it, since all was closed; the bound is one that must hold at every instant all the same.

Change: after close there is no claim to ask. The test fails without it.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -311,6 +311,7 @@
         self._front.close_all()
         if self._claim is not None:
             self._claim.close()
+            self._claim = None  # it knows of nobody now: what is asked later must not pass for "alone again"
         self._feed.stop()
         self._pool.close_all()
 
--- a/tests/real/test_operation.py
+++ b/tests/real/test_operation.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from magpieshift import ConfigError, parse
-from magpieshift.app import Bounds
+from magpieshift.app import Bounds, EdgeRouter
 from magpieshift.claim import Claim
 from magpieshift.config import Limits
 from magpieshift.console import door
@@ -284,6 +284,20 @@
         self.assertEqual((router.cfg.routers, router._cold_rate(cache)), (2, alone))
 
 
+class Ended(unittest.IsolatedAsyncioTestCase):
+    async def test_who_has_ended_beside_its_successor_does_not_take_its_whole_part_back(self) -> None:
+        """Membership looks once more after it: both processes then used the whole part, 1.125 of all."""
+        router = EdgeRouter(parse(config(PORTS)))
+        with tempfile.TemporaryDirectory() as folder:
+            router._claim = Claim(("127.0.0.1", 1), folder)
+            with mock.patch.object(Claim, "another_lives", property(lambda claim: claim._file >= 0)):
+                router.look_round()
+                self.assertEqual(router.engine.beside, 1)
+                router.close()
+                router.look_round()
+        self.assertEqual(router.engine.beside, 1)
+
+
 class NewSettings(unittest.TestCase):
     def test_nothing_is_taken_from_a_broken_file(self) -> None:
         """A deadline below zero was taken, with all its file's classes, and every request failed."""
