--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -172,7 +172,9 @@
             "console": f"127.0.0.1:{place.console}", "router-index": int(place.name[1:]), "members": members,
         }  # fmt: skip
         path = self.folder / f"{place.name}.sexp"
-        path.write_text(sexp.write(to_data(load_data(data).document)))
+        document = load_data(data).document
+        self.rules.copies = emulated.may_copy(document)
+        path.write_text(sexp.write(to_data(document)))
         if place.name in self._clocks:
             skewed.write(self.folder / f"{place.name}.clock")
 
--- a/magpieshift/lab/standins/emulated.py
+++ b/magpieshift/lab/standins/emulated.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from magpieshift.config import Document
 from magpieshift.control.schema import load_data, to_data
 from magpieshift.lab.standins.emulator import Figures, Rules, Store
+from molecleat.interface import Effect
 
 KINDS = {
     "box": ("shop", "box", Figures()),
@@ -50,6 +52,13 @@
     return to_data(load_data(data).document)
 
 
+def may_copy(document: Document) -> frozenset[str]:
+    """The classes of which this document lets a second copy run beside the first."""
+    classes = zip(document.names.classes, document.settings.classes, strict=True)
+    may = document.settings.second_copies
+    return frozenset(name for name, cls in classes if may and cls.effect == Effect.FREE)
+
+
 class Emulated:
     """Owner of the stores of one installation. ``tell`` is given each event of the change log, in order."""
 
--- a/tests/members/test_ground.py
+++ b/tests/members/test_ground.py
@@ -11,11 +11,13 @@
 from pathlib import Path
 from unittest import mock
 
+from magpieshift.control.schema import load_data
 from magpieshift.front import frames
 from magpieshift.front.frames import Code, Type
 from magpieshift.lab.proving import checks, skewed
 from magpieshift.lab.proving.relay import Relay
 from magpieshift.lab.proving.ways import ROUTERS, Ways
+from magpieshift.lab.standins import emulated
 from magpieshift.lab.standins.emulator import Rules
 from magpieshift.lab.standins.load import Connection, Missed
 
@@ -103,6 +105,27 @@
             rules.named("00ac", "s-box1-1", "named as its source")
             self.assertEqual(rules.broken.get("drain", 0), broken)
 
+    def test_a_second_attempt_is_one_unless_the_settings_allow_that_copy(self) -> None:
+        for copies, stores, broken in (
+            ((), ("a", "b"), 1), (("picture",), ("a", "b"), 0), (("picture",), ("a", "a"), 1),
+            (("picture",), ("a", "b", "c"), 1), (("order",), ("a", "b"), 1),
+        ):  # fmt: skip
+            with self.subTest(copies=copies, stores=stores):
+                rules = Rules(copies=copies)
+                for store in stores:
+                    rules.began("00ab", store, "picture")
+                for store in stores:
+                    rules.ended("00ab", store)
+                rules.began("00ab", "d", "picture")  # all have ended
+                self.assertEqual(rules.broken.get("second attempt", 0), broken)
+
+    def test_which_classes_may_be_copied_is_read_from_the_settings(self) -> None:
+        data = emulated.settings("r0", 1, 2)
+        for allowed, wanted in ((False, set()), (True, {"picture"})):
+            attempts = {**data.get("attempts", {}), "second-copies": allowed}
+            document = load_data(data | {"attempts": attempts}).document
+            self.assertEqual(emulated.may_copy(document), wanted)
+
     def test_a_copy_from_before_a_purge(self) -> None:
         rules = Rules(0.05)
         now = time.time()
