Let routers that may talk tell each other of failing stores, and a few of them try those

Change: magpieshift/overload, pure: news (who saw a store fail, with ages in place of clocks), trials (a hash names two of all routers, who try once a second; the others leave the store alone while they hear that it fails, and come back each at its own moment), relief (a router that cannot keep up hands marked-once clients to neighbours, as many as those have said they have room for), talk round them, carried as notes by membership. molecleat/heed.py lets the module leave or try a store; captures record it. Word alone takes two witnesses, yields to a good answer, and takes away half of the stores of one kind at most; without news each goes by itself. Off unless (members (digests yes)) is set.

The emulated cache now says that its source is lost where it called that a miss.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 # After a change of the control channel's messages or a capture's records.
 proto: build
 	$(BIN)/pip -q install --disable-pip-version-check -e '.[proto]'
-	for each in control capture members; do $(BIN)/python -m grpc_tools.protoc -Imagpieshift/$$each/wire \
+	for each in control capture members overload; do $(BIN)/python -m grpc_tools.protoc -Imagpieshift/$$each/wire \
 		--python_out=magpieshift/$$each/wire --pyi_out=magpieshift/$$each/wire \
 		magpieshift/$$each/wire/$$each.proto; done
 
--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -19,7 +19,7 @@
 from magpieshift.clock import LoopClock
 from magpieshift.config import Config, ConfigError, Document, Limits, load, settings_by_name
 from magpieshift.core.engine import Engine
-from magpieshift.core.model import Member
+from magpieshift.core.model import Call, Member
 from magpieshift.core.numbers import aligned
 from magpieshift.feed.changes import ChangeLog
 from magpieshift.feed.client import FeedClient
@@ -246,6 +246,17 @@
         if state == State.ENDING:
             self._stopping.set()
 
+    def relieve(self, handed_over: Callable[[Call], bool] | None) -> None:
+        """Have clients whose requests are a neighbour's to take turned away at once, by what this says."""
+        self._front.relieved = handed_over
+
+    @property
+    def pressed(self) -> float:
+        """How much of what may be held for clients and of their connections is in use: the larger part."""
+        front, engine = self._front, self.engine
+        held = max(front.held, engine.held) / max(1, engine.most_held)
+        return max(held, front.connected / max(1, front.most_connections))
+
     def running(self) -> dict[str, dict[str, object]]:
         """The figures that each part runs on, read from the part itself."""
         return {part.part: dict(part.running()) for part in self.parts}
--- a/magpieshift/capture/recorder.py
+++ b/magpieshift/capture/recorder.py
@@ -21,6 +21,7 @@
 from magpieshift.capture.wire import capture_pb2 as wire
 from magpieshift.log import fields
 from molecleat import interface as api
+from molecleat.heed import Act, Leave
 
 log = logging.getLogger(__name__)
 
@@ -78,7 +79,13 @@
     reason: str
 
 
-_Item = _Batch | _Keyframe | _Retune | _Gap
+@dataclass(slots=True)
+class _Heed:
+    now_us: int
+    acts: Sequence[Act]
+
+
+_Item = _Batch | _Keyframe | _Retune | _Heed | _Gap
 
 
 class Recorder:
@@ -153,6 +160,11 @@
         if self._dropping is None:
             self._put(50, _Retune(state.snapshot_record(settings), sorted(fresh), self.version()))
 
+    def heeded(self, now_us: int, acts: Sequence[Act]) -> None:
+        """The module has heeded what other routers say, between two batches."""
+        if self._dropping is None:
+            self._put(len(acts), _Heed(now_us, acts))
+
     def _full(self, now_us: int) -> bool:
         """Whether this batch is dropped: from when too much is pending until the writer has caught up."""
         gap = self._dropping
@@ -278,6 +290,8 @@
             return wire.Record(
                 retune=wire.Retune(settings=settings, fresh=item.fresh, config_version=item.version)
             )
+        case _Heed():
+            return wire.Record(heed=wire.Heed(now_us=item.now_us, acts=[_act(act) for act in item.acts]))
         case _Gap():
             return wire.Record(
                 gap=wire.Gap(batches=item.batches, from_us=item.from_us, to_us=item.to_us, reason=item.reason)
@@ -285,5 +299,11 @@
     return wire.Record(keyframe=wire.Keyframe(state=state.encode(item.state), stores=_names(item.stores)))
 
 
+def _act(act: Act) -> wire.Act:
+    if isinstance(act, Leave):
+        return wire.Act(store=act.number, leave=True, us=act.for_us)
+    return wire.Act(store=act.number, us=act.in_us, pause_us=act.pause_us)
+
+
 def _names(names: Iterable[tuple[int, str]]) -> list[wire.Name]:
     return [wire.Name(id=number, ident=ident) for number, ident in names]
--- a/magpieshift/capture/replay.py
+++ b/magpieshift/capture/replay.py
@@ -18,6 +18,7 @@
 from magpieshift.capture.policy import Policy, own
 from magpieshift.capture.segments import Missing
 from magpieshift.capture.wire import capture_pb2 as wire
+from molecleat.heed import Act, Allow, Leave, heed
 from molecleat.retune import retune
 
 MOST_DIFFERENCES = 1000  # kept in full; all are counted
@@ -84,6 +85,13 @@
         settings = state.restore_record(record.settings, self.policy)
         retune(self.router, settings, frozenset(record.fresh))
 
+    def heed(self, record: wire.Heed) -> None:
+        acts: list[Act] = [
+            Leave(act.store, act.us) if act.leave else Allow(act.store, act.us, act.pause_us)
+            for act in record.acts
+        ]
+        heed(self.router, record.now_us, acts)
+
     def batch(self, record: wire.Batch) -> tuple[list[Plain], str]:
         """What the module does, and what it raised."""
         event, plain = self.codec.event, self.codec.plain
@@ -183,6 +191,9 @@
                 result.retunes += 1
                 for player in self._players():
                     player.retune(record.retune)
+            case "heed" if self._usable:
+                for player in self._players():
+                    player.heed(record.heed)
             case "gap":
                 gap = record.gap
                 result.missing.append(f"{gap.batches} batches dropped when recording: {gap.reason}")
--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -16,20 +16,14 @@
 PRINTED = ("name", "standing", "for_s", "address", "zone", "state", "program", "settings", "load", "why")
 
 
-@click.command(epilog="\b\nExample:\n  magpieshift members --console 127.0.0.1:6566")
-@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
-@click.option("--history", is_flag=True, help="The last changes of its view.")
-@JSON
-def members(console: str, history: bool, as_json: bool) -> None:
-    """Who is there, as one router sees it, and why it suspects whom."""
-    from magpieshift.cli import show
-
+def _asked(console: str, word: str, hint: str) -> dict[str, Any]:
+    """What a router's door answers to a word, from JSON; ``ConfigError`` where it does not."""
     host, port = address(console, "console")
 
     async def ask() -> str:
         async with asyncio.timeout(3.0):
             reader, writer = await asyncio.open_connection(host, port, limit=1 << 21)
-            writer.write(b"MEMBERS\n")
+            writer.write(f"{word}\n".encode())
             line = await reader.readline()
             writer.close()
             return line.decode().strip()
@@ -39,8 +33,36 @@
     except (OSError, TimeoutError) as err:
         raise ConfigError(f"{console}: no answer: {err or 'not within 3 s'}") from err
     if not line.startswith("OK "):
-        raise ConfigError(f"{console}: found {line[:120]!r}, expected OK: is (members ...) set?")
+        raise ConfigError(f"{console}: found {line[:120]!r}, expected OK: {hint}")
     found: dict[str, Any] = json.loads(line[3:])
+    return found
+
+
+@click.command(epilog="\b\nExample:\n  magpieshift talk --console 127.0.0.1:6566")
+@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
+@JSON
+def talk(console: str, as_json: bool) -> None:
+    """What one router says and hears of failing stores, and whether it hands clients over."""
+    from magpieshift.cli import show
+
+    found = _asked(console, "TALK", "is (members (digests yes) ...) set?")
+    if as_json:
+        return show.as_json(found)
+    show.rows([{"store": store, "said by": ", ".join(who), "left to others": store in found["left"]}
+               for store, who in found["failing"].items()], False)  # fmt: skip
+    over = f"hands over {found['share']:.0%} ({found['why']})" if found["over"] else "hands nothing over"
+    click.echo(f"pressure {found['pressure']:.2f}, {found['rate']:.0f} requests a second, {over}")
+
+
+@click.command(epilog="\b\nExample:\n  magpieshift members --console 127.0.0.1:6566")
+@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
+@click.option("--history", is_flag=True, help="The last changes of its view.")
+@JSON
+def members(console: str, history: bool, as_json: bool) -> None:
+    """Who is there, as one router sees it, and why it suspects whom."""
+    from magpieshift.cli import show
+
+    found = _asked(console, "MEMBERS", "is (members ...) set?")
     if as_json:
         return show.as_json(found)
     rows = found["history"] if history else [
@@ -107,16 +129,20 @@
 @click.option("--routers", default=40, show_default=True)
 @click.option("--seed", default=1, show_default=True)
 @click.option("--load", default=1.0, show_default=True, help="Times what the installation was made for.")
+@click.option("--without", is_flag=True, help="Routers do not talk to each other.")
+@click.option("--digests-lost", default=0.0, show_default=True, help="Share of what they say that is lost.")
+@click.option("--liars", default=0, show_default=True, help="Routers that say that all stores fail.")
 @click.option("--map", "whole", is_flag=True, help="Instead: loads, triggers and clients, one by one.")
 @JSON
 def lab_overload(
-    scenario: str, routers: int, seed: int, load: float, whole: bool, as_json: bool
-) -> None:
+    scenario: str, routers: int, seed: int, load: float, without: bool, digests_lost: float, liars: int,
+    whole: bool, as_json: bool,
+) -> None:  # fmt: skip
     """Overload on a simulated fleet of real engines and modules: what all routers do together."""
     import os
 
     from magpieshift.cli import show
-    from magpieshift.lab.experiments.overload import SCENARIOS, map_of, play
+    from magpieshift.lab.experiments.overload import SCENARIOS, Talking, map_of, play
     from magpieshift.lab.simulated.fleet import Form
 
     if scenario and scenario not in SCENARIOS:
@@ -125,7 +151,7 @@
     if whole:
         return show.rows([vars(point) for point in map_of(form, os.cpu_count() or 1)], as_json)
     for name in [scenario] if scenario else SCENARIOS:
-        row = play(name, form).row()
+        row = play(name, form, None if without else Talking(digests_lost, liars)).row()
         if as_json:
             click.echo(json.dumps(row))
         else:
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -408,6 +408,7 @@
 
 
 cli.add_command(fleet_commands.members)
+cli.add_command(fleet_commands.talk)
 for command in (fleet_commands.lab_members, fleet_commands.lab_overload, fleet_commands.fleet_run):
     lab.add_command(command)
 cli.add_command(captures.capture)
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -59,6 +59,8 @@
     seeds: tuple[Address, ...] = ()  # to join by
     council: tuple[str, ...] = ()  # names of those who choose who deals out shares
     alone: float = 1.0  # part of its share by the settings that a router uses whatever it hears
+    digests: bool = False  # whether routers tell each other of failing stores
+    hand_over: bool = False  # whether one that has too much sends clients to its neighbours
 
 
 @dataclass(frozen=True)
--- a/magpieshift/control/schema.py
+++ b/magpieshift/control/schema.py
@@ -121,6 +121,8 @@
     seeds: Words = []
     council: Words = []
     alone: Share = 1.0
+    digests: Flag = False
+    hand_over: Flag = False
 
 
 class DocumentForm(_Form):
@@ -247,6 +249,8 @@
                 address(text, key)
             except ConfigError:
                 yield ("members", key), sexp.shown(text), "host:port"
+        if members.hand_over and not members.digests:
+            yield ("members", "hand-over"), "yes", "no, or digests yes: it goes by what neighbours say"
         if members.alone < 1.0 and len(members.council) % 2 == 0:
             found = f"{len(members.council)} names"
             yield ("members", "council"), found, "an odd number of routers' names, as alone is less than 1"
@@ -343,6 +347,8 @@
         seeds=tuple(address(seed, "seeds") for seed in form.seeds),
         council=tuple(form.council),
         alone=form.alone,
+        digests=form.digests,
+        hand_over=form.hand_over,
     )
 
 
@@ -384,6 +390,8 @@
         **({"seeds": words(["{}:{}".format(*seed) for seed in members.seeds])} if members.seeds else {}),
         **({"council": words(members.council)} if members.council else {}),
         "alone": _number(members.alone),
+        "digests": members.digests,
+        "hand-over": members.hand_over,
     }
 
 
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -22,6 +22,7 @@
 from magpieshift.transaction import TurnedDown
 from molecleat import interface as api
 from molecleat.control import Router
+from molecleat.heed import Act, health, heed
 from molecleat.interface import NEVER_RAN, Effect, Outcome, Phase, Scope
 from molecleat.retune import retune
 
@@ -58,6 +59,8 @@
 
     def retuned(self, settings: api.Settings, fresh: Collection[int]) -> None: ...
 
+    def heeded(self, now_us: int, acts: Sequence[Act]) -> None: ...
+
 
 class _Open:
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
@@ -247,6 +250,34 @@
             self.tap.retuned(settings, fresh)
         self._settings = settings
 
+    # --- what other routers say
+
+    @property
+    def taken(self) -> int:
+        """How many requests have been taken since the start."""
+        return self._last_op
+
+    def writes(self, cls: int) -> bool:
+        """Whether requests of this class write."""
+        return self._settings.classes[cls].write
+
+    def store_health(self) -> Iterable[tuple[Member, bool, int | None, int | None]]:
+        """Of each store that the module may ask: whether it passes it over for its failures, and how long
+        ago it last failed and was last of use, in microseconds (None: never)."""
+        now = max(self._module_us, self._clock.now_us())
+        for number, shunned, *times in health(self._router):
+            if (member := self._members.get(number)) is not None:
+                failed, good = (None if at < 0 else max(0, now - at) for at in times)
+                yield member, shunned, failed, good
+
+    def heed(self, acts: Sequence[Act]) -> None:
+        """Let the module leave stores alone, or try them again, by what other routers have seen."""
+        if acts:
+            now = max(self._module_us, self._clock.now_us())
+            heed(self._router, now, acts)
+            if self.tap is not None:
+                self.tap.heeded(now, acts)
+
     # --- what the feed says
 
     def store_names(self) -> list[tuple[int, str]]:
--- a/magpieshift/core/trace.py
+++ b/magpieshift/core/trace.py
@@ -10,6 +10,7 @@
 from magpieshift.log import fields
 from molecleat import interface as api
 from molecleat.control import Router
+from molecleat.heed import Act
 from molecleat.interface import Note, Outcome, Phase
 
 log = logging.getLogger("magpieshift.trace")
@@ -34,6 +35,10 @@
     def retuned(self, settings: api.Settings, fresh: Collection[int]) -> None:
         log.debug("retuned", extra=fields(routers=settings.routers, zone=settings.zone))
 
+    def heeded(self, now_us: int, acts: Sequence[Act]) -> None:
+        for act in acts:
+            log.debug("heeded", extra=fields(store=self._store(act.number), act=type(act).__name__.lower()))
+
     def handle(self, module: Router, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         for event in events:
             self._heard(event)
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -14,7 +14,7 @@
 from magpieshift.clock import LoopClock
 from magpieshift.config import Document
 from magpieshift.core.engine import Engine
-from magpieshift.core.model import Answer
+from magpieshift.core.model import Answer, Call
 from magpieshift.front.frames import FrameError
 from magpieshift.front.session import Abandoned, Asked, Chunks, ReadyAsked, Session, Unusable
 from magpieshift.lifecycle import Lifecycle, State
@@ -107,6 +107,8 @@
         match event:
             case Asked() if self._server.lifecycle.turning_away:  # told, and asking on: answered at once
                 self._write(self._session.answer(stream, engine.turned_away()))
+            case Asked(call=call) if self._server.relieved is not None and self._server.relieved(call):
+                self._write(self._session.answer(stream, engine.turned_away()))
             case Asked(call=call):
                 self._ops[stream] = engine.submit(call, lambda answer: self._answer(stream, answer))
                 self._settled.clear()
@@ -229,6 +231,7 @@
         self.engine, self.clock, self.classes = engine, clock, classes
         self.lifecycle = lifecycle
         self.held = 0  # bytes held for all clients
+        self.relieved: Callable[[Call], bool] | None = None  # whether a request is a neighbour's to take
         self.most_held, self.most_connections = most_held, most_connections
         self._connections: set[Connection] = set()
         self._listener: socket.socket | None = None
@@ -303,6 +306,11 @@
         for connection in list(self._connections):
             connection.no_more()
 
+    @property
+    def connected(self) -> int:
+        """How many clients' connections are open."""
+        return len(self._connections)
+
     @property
     def owing(self) -> bool:
         """Whether there are answers that clients have yet to take."""
--- a/magpieshift/installation/membership.py
+++ b/magpieshift/installation/membership.py
@@ -20,6 +20,7 @@
 from magpieshift.log import fields
 from magpieshift.members.detector import Detector
 from magpieshift.members.driver import Driver, steady_us
+from magpieshift.members.messages import Note
 from magpieshift.members.shares import ALL, ZONE, Shares
 from magpieshift.members.view import Change, Member, Standing
 
@@ -53,6 +54,9 @@
         self._opening: asyncio.Task[None] | None = None
         self._conflicts = 0
         self._share = -1.0
+        self.turns: list[Callable[[], None]] = []  # of other parts, called at the end of each turn
+        self.topics: dict[str, Callable[[bytes, Member], None]] = {}  # who takes which notes
+        self._detector.noted = self._noted
         router.lifecycle.watchers.append(self._went)
 
     def _slots(self, document: Document) -> dict[str, int]:
@@ -96,6 +100,24 @@
         self._driver.close()
         self._router.engine.lease = None
 
+    # --- for other parts
+
+    @property
+    def zone(self) -> str:
+        return self._detector.view.own.zone
+
+    def there(self) -> list[Member]:
+        """Who is there and not suspected, this router included."""
+        return [known.member for known in self._detector.view.here() if known.standing == Standing.ALIVE]
+
+    def note(self, member: Member, topic: str, data: bytes) -> None:
+        """Send another part's words to a member, with this turn's datagrams."""
+        self._detector.note(member, topic, data)
+
+    def _noted(self, note: Note, sender: Member) -> None:
+        if (takes := self.topics.get(note.topic)) is not None:  # else it is of a later version
+            takes(note.data, sender)
+
     # --- what goes on
 
     def _went(self, state: State) -> None:
@@ -113,6 +135,8 @@
                 extra=fields(name=self._router.document.name, goes_on_as=self._detector.view.own.name),
             )
         self._check()
+        for turn in self.turns:
+            turn()
 
     def _check(self) -> None:
         """What may be used at this instant, rounded to the safe side, is what the engine divides by. It is
--- a/magpieshift/installation/runner.py
+++ b/magpieshift/installation/runner.py
@@ -102,7 +102,13 @@
         if document.members is not None:
             from magpieshift.installation.membership import Membership
 
-            self.fittings.append(Membership(self.router, document.members, seed))
+            membership = Membership(self.router, document.members, seed)
+            self.fittings.append(membership)
+            if document.members.digests:
+                from magpieshift.installation.talking import Talking
+
+                hand_over = document.members.hand_over
+                self.fittings.append(Talking(self.router, membership, seed, hand_over))
         for fitting in self.fittings:
             self.router.committed.append(fitting.changed)
             self.router.calls.update(fitting.calls())
--- /dev/null
+++ b/magpieshift/installation/talking.py
@@ -0,0 +1,144 @@
+"""What routers tell each other of failing stores and of themselves, as a fitting of a router."""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+from collections.abc import Callable, Mapping
+
+from magpieshift import clock
+from magpieshift.app import EdgeRouter
+from magpieshift.core.model import Call
+from magpieshift.installation.fitting import Plain
+from magpieshift.installation.membership import Membership
+from magpieshift.log import fields
+from magpieshift.members.driver import steady_us
+from magpieshift.members.view import Member
+from magpieshift.overload.codec import Malformed, decode, encode
+from magpieshift.overload.relief import FRESH_US
+from magpieshift.overload.talk import TURN_US, Talker
+from magpieshift.overload.trials import Seen
+from molecleat.heed import Allow, Leave
+
+log = logging.getLogger(__name__)
+
+TOPIC = "overload"
+LATE_US = 100_000  # turns that come so late on the mean are all that a processor can bear
+LATE_SMOOTH, RATE_SMOOTH = 0.2, 0.2
+
+
+class Talking(Plain):
+    """One router's talk, by way of the members' datagrams. It holds nothing to be given back: its turns are
+    membership's, and end with it."""
+
+    fitting = "talk"
+
+    def __init__(self, router: EdgeRouter, membership: Membership, seed: int, hand_over: bool) -> None:
+        self._router, self._membership = router, membership
+        rand = random.Random(seed ^ clock.source.unix_us() ^ 1)
+        self._talker = Talker(router.document.name, rand, steady_us())
+        self._hand_over = hand_over
+        self._turned_us = steady_us()
+        self._late_us = self._rate = 0.0
+        self._taken = 0
+        self._left: set[int] = set()
+        self.malformed = 0
+        membership.turns.append(self._turn)
+        membership.topics[TOPIC] = self._heard
+
+    # --- as a fitting
+
+    def start(self) -> None:
+        if self._hand_over:
+            self._router.relieve(self._hands_over)
+
+    def calls(self) -> Mapping[str, Callable[[], str]]:
+        return {"TALK": self._line}
+
+    async def end(self) -> None:
+        self._router.relieve(None)
+
+    # --- what goes on
+
+    def _heard(self, data: bytes, sender: Member) -> None:
+        try:
+            digest = decode(data)
+        except Malformed as err:
+            self.malformed += 1
+            log.debug("digest dropped", extra=fields(source=sender.name, reason=err))
+            return
+        mate = sender.zone == self._membership.zone
+        self._talker.receive(steady_us(), sender.name, digest, mate)
+
+    def _turn(self) -> None:
+        """Called at the end of each of membership's turns."""
+        now = steady_us()
+        since = now - self._turned_us
+        if since < TURN_US:
+            return
+        self._turned_us = now
+        late = max(0, since - 2 * TURN_US)  # membership's turns are a tenth of a second
+        self._late_us += LATE_SMOOTH * (late - self._late_us)
+        taken = self._router.engine.taken
+        self._rate += RATE_SMOOTH * (1e6 * (taken - self._taken) / since - self._rate)
+        self._taken = taken
+        seen = {
+            m.ident: Seen(m.entry.store, (m.entry.kind, m.entry.zone), shunned, failed, good)
+            for m, shunned, failed, good in self._router.engine.store_health()
+        }
+        here = self._membership.there()
+        names = sorted(member.name for member in here)
+        mates = [member.name for member in here if member.zone == self._membership.zone]
+        turn = self._talker.turn(now, seen, names, mates, self._pressure(), self._rate)
+        self._router.engine.heed(turn.acts)
+        self._log_acts([act.number for act in turn.acts if isinstance(act, Leave)],
+                       {act.number for act in turn.acts if isinstance(act, Allow)}, seen)  # fmt: skip
+        if turn.relief_changed:
+            relief = self._talker.relief
+            log.warning("handing over" if relief.over else "no longer handing over",
+                        extra=fields(why=relief.why, handed=relief.handed))  # fmt: skip
+        by_name = {member.name: member for member in here}
+        for name, digest in turn.sends:
+            self._membership.note(by_name[name], TOPIC, encode(digest))
+
+    def _pressure(self) -> float:
+        return max(self._router.pressed, self._late_us / LATE_US)
+
+    def _log_acts(self, left: list[int], tried: set[int], seen: Mapping[str, Seen]) -> None:
+        """A line for each store that begins to be left alone, and for each that is taken up again."""
+        names = {its.number: store for store, its in seen.items()}
+        for number in left:
+            if number not in self._left:
+                store = names[number]
+                said = self._talker.news.failing(store, steady_us())
+                log.warning("store left to others", extra=fields(store=store, said_by=",".join(sorted(said))))
+        for number in self._left - set(left):
+            why = "tried here" if number in tried else "well again, or no news"
+            log.info("store no longer left", extra=fields(store=names.get(number, "-"), why=why))
+        self._left = set(left)
+
+    def _hands_over(self, call: Call) -> bool:
+        engine = self._router.engine
+        number = engine.object_number(call.key)
+        return self._talker.relief.hands_over(number, call.repeat, engine.writes(call.cls))
+
+    def _line(self) -> str:
+        """What is said and done, as one line of JSON."""
+        now, talker = steady_us(), self._talker
+        return json.dumps({
+            "pressure": round(self._pressure(), 3), "rate": round(self._rate, 1),
+            "over": talker.relief.over, "share": round(talker.relief.share, 3),
+            "handed": talker.relief.handed, "why": talker.relief.why, "changes": talker.relief.changes,
+            "failing": {
+                store: sorted(said) for store in sorted(talker.news.stores())
+                if (said := talker.news.failing(store, now))
+            },
+            "left": sorted(
+                m.ident for m, *_ in self._router.engine.store_health() if m.entry.store in self._left
+            ),
+            "neighbours_fresh_s": FRESH_US / 1e6, "sent": talker.sent, "taken": talker.taken,
+            "dropped": {
+                "malformed": self.malformed, "flooded": talker.flooded, "no_room": talker.news.dropped,
+            },
+        }, separators=(",", ":"))  # fmt: skip
--- a/magpieshift/lab/experiments/overload.py
+++ b/magpieshift/lab/experiments/overload.py
@@ -83,12 +83,14 @@
     trouble: Trouble
     seconds: int
     changes: dict[str, float] = field(default_factory=dict)
+    digests_lost: float = 0.0  # share of what routers that talk say to each other
 
 
 SCENARIOS: dict[str, Scenario] = {
     "routers-killed": Scenario(_killed, 3),
     "origin-half": Scenario(_origin_half, 15),
     "parent-dead": Scenario(_parent_dead, 15),
+    "digests-lost": Scenario(_parent_dead, 15, digests_lost=1.0),
     "half-errors": Scenario(_half_errors, 15),
     "one-class": Scenario(_one_class, 15),
     "threshold": Scenario(_threshold, 120),
@@ -112,6 +114,8 @@
     goodput: float = 0.0  # share of requests served in time, from the trouble on
     worst_class: float = 0.0
     refused: float = 0.0  # tries refused, of all first asked for
+    talk_per_s: float = 0.0  # datagrams of digests, of each router
+    talk_bytes_per_s: float = 0.0
     rules_broken: int = 0
     real_s: float = 0.0
     by_second: list[Account] = field(default_factory=list, repr=False)
@@ -130,11 +134,24 @@
     return sum(a.served for a in seconds) / asked if asked else 0.0
 
 
-def play(name: str, form: Form) -> Outcome:
-    """One run: calm, trouble, and what follows."""
+@dataclass(frozen=True)
+class Talking:
+    """How routers talk, where they do."""
+
+    loss: float = 0.0
+    liars: int = 0
+
+
+def play(name: str, form: Form, talking: Talking | None = None) -> Outcome:
+    """One run: calm, trouble, and what follows; without ``talking`` each router goes by itself."""
     began, scenario = time.perf_counter(), SCENARIOS[name]
     form = replace(form, **scenario.changes)  # type: ignore[arg-type]
     fleet = Fleet(form)
+    talk = None
+    if talking is not None:
+        from magpieshift.lab.simulated.talk import Talk  # needs the codec's library
+
+        talk = Talk(fleet, max(talking.loss, scenario.digests_lost), talking.liars)
     fleet.run(WARM_S + CALM_S)
     calm = fleet.seen.seconds[WARM_S : WARM_S + CALM_S]
     usual_work, usual_good = _work(calm), _good(calm)
@@ -172,6 +189,8 @@
     out.worst_class = round(min(served / asked for asked, served in classes.values()), 4)
     out.refused = round(sum(a.refused for a in troubled) / sum(a.asked for a in troubled), 3)
     out.rules_broken = len(fleet.seen.broken)
+    if talk is not None:
+        out.talk_per_s, out.talk_bytes_per_s = (round(each, 2) for each in talk.cost())
     out.real_s = round(time.perf_counter() - began, 1)
     out.by_second = seconds
     return out
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -79,14 +79,14 @@
 class Ground:
     """Owner of the installation, the ways, the clients and all router processes.
 
-    ``slack_s`` is granted beyond the time limits of the rules on top of the platform's 0.05 s: more where a
-    verdict must not hang on how busy the machine is. ``clocks`` names the routers whose clocks can be set.
-    """
+    ``digests`` and ``hand_over`` are set as in the settings' members. ``slack_s`` is granted beyond the
+    time limits of the rules on top of the platform's 0.05 s: more where a verdict must not hang on how busy
+    the machine is. ``clocks`` names the routers whose clocks can be set. """
 
     def __init__(
         self, folder: Path, routers: int, seed: int = 1, alone: float = 0.5, rate: float = 20.0,
         program: Iterable[str] = PROGRAM, boxes: int = 2, hubs: int = 1, slack_s: float = SLACK_S,
-        clocks: Iterable[str] = (), seeds: int = 3,
+        clocks: Iterable[str] = (), seeds: int = 3, digests: bool = False, hand_over: bool = False,
     ) -> None:  # fmt: skip
         self.folder, self.count, self.seed, self.alone = folder, routers, seed, alone
         self.ways = Ways()
@@ -102,7 +102,7 @@
         self._away: dict[str, list[tuple[float, float]]] = {}  # when a router could not answer
         self._deaf: dict[str, list[tuple[float, float]]] = {}  # when the change log did not reach it
         self._rate, self._program, self._clocks = rate, tuple(program), frozenset(clocks)
-        self._seeds = seeds
+        self._seeds, self._digests, self._hand_over = seeds, digests, hand_over
         self._logs: dict[str, peers.Log] = {}
         self._relays: dict[tuple[str, str], Relay] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -166,6 +166,7 @@
             "fleet": "proving", "listen": f"127.0.0.1:{place.members}", "seeds": seeds,
             "advertise": f"127.0.0.1:{place.public}", "alone": self.alone,
             "council": names[: 3 if len(names) >= 3 else 1],
+            "digests": self._digests, "hand-over": self._hand_over,
         }  # fmt: skip
         log_port = self._relays[place.name, LOG].port
         data = emulated.settings(place.name, place.port, log_port, self.count) | {
@@ -341,6 +342,14 @@
         found: dict[str, Any] = json.loads(line[3:])
         return found
 
+    async def talk(self, name: str) -> dict[str, Any] | None:
+        """What a router says of failing stores, and of handing over."""
+        line = await self.call(name, "TALK")
+        if line is None or not line.startswith("OK "):
+            return None
+        found: dict[str, Any] = json.loads(line[3:])
+        return found
+
     async def views(self, names: Iterable[str] | None = None) -> dict[str, dict[str, Any]]:
         """The views of all who live and run."""
         running = [p.name for p in self.places.values() if p.alive and not p.paused]
--- /dev/null
+++ b/magpieshift/lab/simulated/talk.py
@@ -0,0 +1,82 @@
+"""Routers of a simulated fleet that may talk: their digests on the fake clock, delayed and lost."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+from magpieshift.lab.simulated.fleet import SECOND, Fleet, Router
+from magpieshift.overload.codec import Digest, decode, encode
+from magpieshift.overload.news import Word
+from magpieshift.overload.talk import TURN_US, Talker
+from magpieshift.overload.trials import Seen
+
+NOTICED_US = 2_400_000  # by the others, that a router does not answer
+
+
+class Talk:
+    """The talk of all routers of a fleet. ``loss`` is the share of digests that never arrive; ``liars`` say
+    of themselves that they have all the room there is, and of each store that it fails."""
+
+    def __init__(self, fleet: Fleet, loss: float = 0.0, liars: int = 0) -> None:
+        self._fleet, self.loss = fleet, loss
+        self._rand = random.Random(f"talk {fleet.form.seed}")
+        self._talkers: dict[int, tuple[Router, Talker]] = {}  # by engine: a later start begins anew
+        self._liars = set(sorted(fleet.routers)[:liars])
+        self._died: dict[str, int] = {}
+        self.sent = self.bytes = 0
+        fleet.time.after(0, self._look)
+
+    def _look(self) -> None:
+        """Begin with each router that is new, and note who has died."""
+        fleet = self._fleet
+        for name, router in fleet.routers.items():
+            if id(router.engine) not in self._talkers:
+                talker = Talker(name, random.Random(self._rand.getrandbits(64)), fleet.time.now_us)
+                self._talkers[id(router.engine)] = (router, talker)
+                router.clock.after(self._rand.randrange(TURN_US), partial(self._turn, router, talker))
+            if router.clock.dead:
+                self._died.setdefault(name, fleet.time.now_us)
+            else:
+                self._died.pop(name, None)
+        fleet.time.after(100_000, self._look)
+
+    def _here(self) -> list[str]:
+        now = self._fleet.time.now_us
+        return sorted(
+            name for name in self._fleet.routers if now - self._died.get(name, now) < NOTICED_US
+        )
+
+    def _turn(self, router: Router, talker: Talker) -> None:
+        now = self._fleet.time.now_us
+        seen = {
+            m.ident: Seen(m.entry.store, (m.entry.kind, m.entry.zone), shunned, failed, good)
+            for m, shunned, failed, good in router.engine.store_health()
+        }
+        here = self._here()
+        turn = talker.turn(now, seen, here)
+        router.engine.heed(turn.acts)
+        sends = turn.sends
+        if router.name in self._liars:
+            words = tuple(Word(store, router.name, True, 0) for store in self._fleet.stores.by_name)
+            sends = [(name, Digest(words, 0.0, 1e6)) for name in self._rand.sample(here, min(8, len(here)))]
+        for name, digest in sends:
+            data = encode(digest)
+            self.sent += 1
+            self.bytes += len(data)
+            if self._rand.random() >= self.loss:
+                delay = self._rand.randrange(300, 3_000)
+                self._fleet.time.after(delay, partial(self._arrive, name, router.name, data))
+        router.clock.after(TURN_US, partial(self._turn, router, talker))
+
+    def _arrive(self, name: str, sender: str, data: bytes) -> None:
+        router = self._fleet.routers[name]
+        clock, now = router.clock, self._fleet.time.now_us
+        if clock.dead or now < clock.asleep_until_us or id(router.engine) not in self._talkers:
+            return
+        self._talkers[id(router.engine)][1].receive(now, sender, decode(data), mate=False)
+
+    def cost(self) -> tuple[float, float]:
+        """Datagrams and bytes that a router sent a second, over the whole run."""
+        over = len(self._fleet.routers) * (self._fleet.time.now_us - self._fleet.time.began_us) / SECOND
+        return self.sent / over, self.bytes / over
--- a/magpieshift/lab/standins/emulator.py
+++ b/magpieshift/lab/standins/emulator.py
@@ -237,7 +237,8 @@
             if self._random.random() < self.errs:
                 writer.write(f"{ident} failed - 0\r\n\r\n".encode())
             elif minted is None:
-                writer.write(f"{ident} absent - 0\r\n\r\n".encode())
+                word, told = ("failed", "how=dropped") if how == "dropped" else ("absent", "-")
+                writer.write(f"{ident} {word} {told} 0\r\n\r\n".encode())
             else:
                 body = f"{fields['key']} {fields['part']} {minted} ".encode().ljust(900, b".")
                 head = f"{ident} data tag=t{minted % 1000},minted={minted},how={how} {len(body)}\r\n"
@@ -260,6 +261,8 @@
         if source is None:
             return None, "warm"
         self.fills += 1
+        if not source.up:
+            return None, "dropped"
         minted = await source.fetch(part, oldest, self.ident)
         if minted is None:
             return None, "lacking"
--- a/magpieshift/members/codec.py
+++ b/magpieshift/members/codec.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import DecodeError
 
-from magpieshift.members.messages import Ack, Ask, Body, Claim, Datagram, Kind, Ping, Sync
+from magpieshift.members.messages import Ack, Ask, Body, Claim, Datagram, Kind, Note, Ping, Sync
 from magpieshift.members.view import MOST_TEXT, PARTS, Accusation, Member
 from magpieshift.members.wire import members_pb2 as wire
 
@@ -64,15 +64,17 @@
                 out.claim.MergeFrom(wire.Claim(term=term, kind=kind.name, number=number))
                 for scope, share in shares:
                     out.claim.parts.add(scope=scope, share=share)
+            case Note(topic=topic, data=data):
+                out.note.topic, out.note.data = topic, data
         for member in rows:
             out.members.append(_row(member))
         for each in said:
             out.accusations.add(
                 about=each.about, incarnation=each.incarnation, beat=each.beat, accuser=each.accuser
             )
-        data = seal(out.SerializeToString())
-        if len(data) <= MOST_BYTES or not (rows or said):
-            return data
+        whole = seal(out.SerializeToString())
+        if len(whole) <= MOST_BYTES or not (rows or said):
+            return whole
         rows, said = rows[: len(rows) // 2], said[: len(said) // 2]
 
 
@@ -113,7 +115,9 @@
             except ValueError:
                 kind = Kind.NONE  # of a later version
             return Claim(raw.claim.term, kind, raw.claim.number, parts)
-    return None
+        case "note":
+            return Note(_text(raw.note.topic, "note"), raw.note.data)
+    return None  # or of a later version
 
 
 def decode(data: bytes) -> Datagram:
--- a/magpieshift/members/detector.py
+++ b/magpieshift/members/detector.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from magpieshift.members.messages import Ack, Address, Ask, Body, Claim, Datagram, Ping, Send, Sync
+from magpieshift.members.messages import Ack, Address, Ask, Body, Claim, Datagram, Note, Ping, Send, Sync
 from magpieshift.members.view import (
     MOST_TEXT,
     PARTS,
@@ -157,6 +157,10 @@
     """Who takes claims where there are no shares."""
 
 
+def _deaf(note: Note, sender: Member) -> None:
+    """Who takes notes where no other part listens."""
+
+
 class Detector:
     """One router's part in the membership of a fleet."""
 
@@ -176,6 +180,7 @@
         self.quiet = False  # another process goes on under this name, as it should
         self.expects_rival = False  # a replacement is under way: it is no conflict
         self.other: Callable[[Claim, Member, Address], None] = _nobody
+        self.noted: Callable[[Note, Member], None] = _deaf
         self.changes = 0  # of what this router says of itself, for its listeners
         self._now_us, self._random = now_us, rand
         self._out: list[Send] = []
@@ -445,6 +450,10 @@
         """Something of another state machine's, on the next flush."""
         self._send(to, body)
 
+    def note(self, member: Member, topic: str, data: bytes) -> None:
+        """Something of another part's to a member, on the next flush."""
+        self._send_to(member, Note(topic, data))
+
     def flush(self) -> list[Send]:
         """What has come to be sent meanwhile."""
         return self._flush()
@@ -595,6 +604,8 @@
                 self._answer_sync(body, sender)
             case Claim() if member:
                 self.other(body, sender, (sender.host, sender.port))
+            case Note() if member:
+                self.noted(body, sender)
 
     def _answered(self, number: int, ack: Ack, sender: Member, datagram: Datagram) -> None:
         opened = self._open.get(number)
--- a/magpieshift/members/driver.py
+++ b/magpieshift/members/driver.py
@@ -93,6 +93,7 @@
                 self.detector.send(to, claim)
             self._carry(self.detector.flush())
             self.after()
+            self._carry(self.detector.flush())  # what other parts have to say
         except Exception:
             log.exception("turn failed")
 
--- a/magpieshift/members/messages.py
+++ b/magpieshift/members/messages.py
@@ -60,7 +60,15 @@
     parts: tuple[tuple[str, float], ...] = ()
 
 
-Body = Ping | Ack | Ask | Sync | Claim | None
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Something of another part of the routers, carried and not looked at."""
+
+    topic: str
+    data: bytes
+
+
+Body = Ping | Ack | Ask | Sync | Claim | Note | None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/magpieshift/overload/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from overload.proto."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,7 @@
     ("magpieshift.streams", "magpieshift.transaction", "magpieshift.lifecycle", "magpieshift.claim"),
     ("magpieshift.core",),
     ("magpieshift.front", "magpieshift.back", "magpieshift.feed", "magpieshift.console"),
-    ("magpieshift.control", "magpieshift.capture", "magpieshift.members"),
+    ("magpieshift.control", "magpieshift.capture", "magpieshift.members", "magpieshift.overload"),
     ("magpieshift.app",),
     ("magpieshift.installation",),
     ("magpieshift.lab",),
