Try handing over with a starved router among real ones; refused clients may roam

The laboratory's clients come back at another router where the ground says so, as a front has them do. Lateness is now taken of each of membership's turns: of every second turn alone half of it went unseen.

--- a/magpieshift/installation/talking.py
+++ b/magpieshift/installation/talking.py
@@ -13,6 +13,7 @@
 from magpieshift.installation.fitting import Plain
 from magpieshift.installation.membership import Membership
 from magpieshift.log import fields
+from magpieshift.members.detector import TURN_US as MEMBERS_TURN_US
 from magpieshift.members.driver import steady_us
 from magpieshift.members.view import Member
 from magpieshift.overload.codec import Malformed, decode, encode
@@ -39,7 +40,7 @@
         rand = random.Random(seed ^ clock.source.unix_us() ^ 1)
         self._talker = Talker(router.document.name, rand, steady_us())
         self._hand_over = hand_over
-        self._turned_us = steady_us()
+        self._called_us = self._turned_us = steady_us()
         self._late_us = self._rate = 0.0
         self._taken = 0
         self._left: set[int] = set()
@@ -74,12 +75,12 @@
     def _turn(self) -> None:
         """Called at the end of each of membership's turns."""
         now = steady_us()
+        late, self._called_us = max(0, now - self._called_us - MEMBERS_TURN_US), now
+        self._late_us += LATE_SMOOTH * (late - self._late_us)
         since = now - self._turned_us
         if since < TURN_US:
             return
         self._turned_us = now
-        late = max(0, since - 2 * TURN_US)  # membership's turns are a tenth of a second
-        self._late_us += LATE_SMOOTH * (late - self._late_us)
         taken = self._router.engine.taken
         self._rate += RATE_SMOOTH * (1e6 * (taken - self._taken) / since - self._rate)
         self._taken = taken
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -435,14 +435,16 @@
 
     # --- load
 
-    def load(self) -> None:
-        """Clients at each router, until ``settle``."""
+    def load(self, roam: bool = False) -> None:
+        """Clients at each router, until ``settle``; where they ``roam``, who is refused comes back at another
+        router."""
         for number, place in enumerate(self.places.values()):
             name, mark = place.name, f"{number:02x}"
             load = Load(
                 place.clients, self._rate, OBJECTS, self.seed * 1000 + number, self.rules.served, mark,
                 lambda began, name=name: self._excused(name, began),  # type: ignore[misc]
                 CROSSED_S + self.rules.slack_s - SLACK_S,
+                [other.clients for other in self.places.values() if roam and other is not place],
             )  # fmt: skip
             self.loads[name] = load
             self._tasks.append(asyncio.ensure_future(load.run(float("inf"))))
--- a/magpieshift/lab/standins/load.py
+++ b/magpieshift/lab/standins/load.py
@@ -7,7 +7,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -182,17 +182,20 @@
 class Load:
     """All clients of one router; ``served`` is told each copy: object, when it was minted, when it was asked
     for, and the request's id, which begins with ``mark``. ``excused`` tells whether a request of that moment
-    (on the steady clock) may have gone without an answer."""
+    (on the steady clock) may have gone without an answer. A refused request comes back at one of the ports
+    ``elsewhere``, where there are any."""
 
     def __init__(
         self, port: int, rate: float, objects: int, seed: int,
         served: Callable[[str, int, float, str], None], mark: str = "",
         excused: Callable[[float], bool] = lambda began: False, crossed_s: float = CROSSED_S,
+        elsewhere: Sequence[int] = (),
     ) -> None:  # fmt: skip
         self._rate, self._objects, self._served = rate, objects, served
         self._mark, self._excused, self._settled = mark, excused, False
         self._draw, self._random = np.random.default_rng(seed), random.Random(seed)
         self._connections = [Connection(port, crossed_s) for _ in range(8)]
+        self._elsewhere = [Connection(other, crossed_s) for other in elsewhere]
         self._sessions: set[asyncio.Task[None]] = set()
         self.slices: list[Second] = []
         self.total = Second()
@@ -202,7 +205,7 @@
 
     @property
     def doubles(self) -> int:
-        return sum(connection.doubles for connection in self._connections)
+        return sum(connection.doubles for connection in [*self._connections, *self._elsewhere])
 
     def _slice(self) -> list[Second]:
         number = int(time.monotonic() - self._began)
@@ -221,7 +224,7 @@
             task.add_done_callback(self._sessions.discard)
         while self._sessions:
             await asyncio.wait(list(self._sessions))
-        for connection in self._connections:
+        for connection in [*self._connections, *self._elsewhere]:
             connection.close()
 
     def settle(self) -> None:
@@ -252,6 +255,8 @@
             if attempt:
                 fields["r"] = "1"
                 self.retries += 1
+                if self._elsewhere:  # as a front does
+                    connection = self._random.choice(self._elsewhere)
             began, sent = time.monotonic(), time.time()
             for counts in self._slice():
                 counts.sent += 1
--- a/tests/overload/test_processes.py
+++ b/tests/overload/test_processes.py
@@ -91,5 +91,55 @@
         self.assertEqual(ground.left_running(), 0)
 
 
+class Relief(unittest.IsolatedAsyncioTestCase):
+    async def test_a_starved_router_sends_clients_to_its_neighbours_and_ends(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        with tempfile.TemporaryDirectory() as folder:
+            async with Ground(
+                Path(folder), 4, rate=25.0, slack_s=1.0, digests=True, hand_over=True
+            ) as ground:
+                names = list(ground.places)
+                await ground.start(*names)
+                await ground.serving(*names)
+                await ground.until(lambda: ground.agreed(), "all agree", 60.0)
+                ground.load(roam=True)
+                starving = asyncio.ensure_future(self.starve(ground, "r1"))
+
+                async def handing() -> bool:
+                    told = await ground.talk("r1")
+                    return told is not None and told["handed"] > 0
+
+                await ground.until(handing, "r1 hands clients over", 60.0)
+                told = [await ground.talk(name) for name in names if name != "r1"]
+                self.assertEqual([said["over"] for said in told if said], [False] * 3)
+                starving.cancel()
+                await asyncio.wait([starving])
+
+                async def over() -> bool:
+                    told = await ground.talk("r1")
+                    return told is not None and not told["over"]
+
+                await ground.until(over, "r1 hands nothing over any more", 60.0)
+                told_at_end = await ground.talk("r1")
+                assert told_at_end is not None
+                self.assertLessEqual(told_at_end["changes"], 2)
+                counted = await ground.settle()
+                self.assertEqual((ground.broken, ground.ended_wrong), ([], []))
+                self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
+            self.assertEqual(ground.left_running(), 0)
+
+    async def starve(self, ground: Ground, name: str) -> None:
+        """A quarter of its processor time, in pieces."""
+        try:
+            while True:
+                ground.pause(name)
+                await asyncio.sleep(0.3)
+                ground.wake(name)
+                await asyncio.sleep(0.1)
+        finally:
+            if ground.places[name].paused:
+                ground.wake(name)
+
+
 if __name__ == "__main__":
     unittest.main()
