--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -187,6 +187,7 @@
         self._claim: Claim | None = None
         self.committed: list[Callable[[Document, int], None]] = []  # told of each document put in force
         self.calls: dict[str, Callable[[], str]] = {}  # what optional parts answer at the door
+        self.worded: dict[str, Callable[[str], str]] = {}  # the same, of calls with something behind the word
         # the engine last but one: it enters the module, which may send at once
         self.parts: list[Part] = [
             _AtStart(document), self._feed, self._pool, self._limits, self._front, self.engine,
@@ -215,7 +216,7 @@
 
             self._claim = Claim(self.document.listen)
             self.look_round()
-            self._door = Door(self.lifecycle, self.calls)
+            self._door = Door(self.lifecycle, self.calls, self.worded)
             self._door.open(self.document.console)
         self._feed.start()
 
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -10,7 +10,7 @@
 
 import click
 
-from magpieshift.cli import captures
+from magpieshift.cli import captures, rollouts
 from magpieshift.cli import fleet as fleet_commands
 from magpieshift.cli.hinting import JSON, Hinting
 from magpieshift.cli.logs import setup
@@ -53,6 +53,8 @@
 @click.option(
     "--hash-key", envvar="EDGE_HASH_KEY", default="", help="File with a key to hash object ids under."
 )
+@click.option("--label", envvar="EDGE_LABEL", default="", help="What this process runs, as a rollout says.")
+@click.option("--term", envvar="EDGE_TERM", default=-1, help="Of the rollout that starts it; -1: none.")
 @LOG
 def run_(
     config: str,
@@ -64,13 +66,17 @@
     capture: str,
     capture_mb: int,
     hash_key: str,
+    label: str,
+    term: int,
     log_form: str,
 ) -> None:
     """Run an edge router, with versions kept and followed where it is told to."""
     from magpieshift.installation.runner import Options, run
 
     setup(log_form)
-    options = Options(config, state, control, name, listen, console, capture, capture_mb, hash_key)
+    options = Options(
+        config, state, control, name, listen, console, capture, capture_mb, hash_key, label, term
+    )
     try:
         run(options)
     except OSError as err:
@@ -409,6 +415,7 @@
 
 cli.add_command(fleet_commands.members)
 cli.add_command(fleet_commands.talk)
+cli.add_command(rollouts.rollout)
 for command in (fleet_commands.lab_members, fleet_commands.lab_overload, fleet_commands.fleet_run):
     lab.add_command(command)
 cli.add_command(captures.capture)
--- a/magpieshift/console/call.py
+++ b/magpieshift/console/call.py
@@ -10,6 +10,7 @@
 END = b"\n"
 
 Calls = Mapping[str, Callable[[], str]]
+Worded = Mapping[str, Callable[[str], str]]  # calls that take the rest of the line
 
 
 def ok(text: str) -> bytes:
@@ -23,8 +24,8 @@
 class Call:
     """One connection's call. What comes behind its first line is not read."""
 
-    def __init__(self, calls: Calls) -> None:
-        self._calls = calls
+    def __init__(self, calls: Calls, worded: Worded | None = None) -> None:
+        self._calls, self._worded = calls, worded or {}
         self._got = bytearray()
 
     def feed(self, data: bytes) -> bytes | None:
@@ -42,11 +43,14 @@
 
     @property
     def _known(self) -> str:
-        return ", ".join(self._calls)
+        return ", ".join([*self._calls, *self._worded])
 
     def _answer(self, line: bytes) -> bytes:
         word = line.decode("ascii", "backslashreplace").strip(" ")
+        first, _, rest = word.partition(" ")
         call = self._calls.get(word)
+        if call is None and (worded := self._worded.get(first)) is not None:
+            call = lambda: worded(rest.strip(" "))  # noqa: E731
         if call is None:  # shown so that it is one line again, whatever bytes came
             return err(f"call: found {ascii(word)[:80]}, expected one of {self._known}")
         try:
--- a/magpieshift/console/door.py
+++ b/magpieshift/console/door.py
@@ -21,12 +21,16 @@
 MOST_CALLERS = 16  # within the descriptors that are kept aside
 WHOLE_S = 2.0  # for a caller to send a whole line
 READ_SIZE = 512
+MOST_LOGGED = 200  # bytes of an answer: some are figures for programs
 
 
 class Door(TCPServer):
     """Listens for operators; owner of its listener and of all callers' connections."""
 
-    def __init__(self, lifecycle: Lifecycle, more: Mapping[str, Callable[[], str]] | None = None) -> None:
+    def __init__(
+        self, lifecycle: Lifecycle, more: Mapping[str, Callable[[], str]] | None = None,
+        worded: Mapping[str, Callable[[str], str]] | None = None,
+    ) -> None:  # fmt: skip
         super().__init__(max_buffer_size=1 << 16, read_chunk_size=READ_SIZE)
         self._calls: dict[str, Callable[[], str]] = {
             "PING": lifecycle.ping,
@@ -34,6 +38,7 @@
             "REJOIN": lifecycle.rejoin,
             **(more or {}),
         }
+        self._worded = dict(worded or {})
         self._callers: dict[IOStream, None] = {}  # in the order in which they came
 
     def open(self, address: Address) -> None:
@@ -45,7 +50,7 @@
         if len(self._callers) >= MOST_CALLERS:  # some call to say nothing; they must not lock others out
             self._release(next(iter(self._callers)))
         self._callers[stream] = None
-        call = Call(self._calls)
+        call = Call(self._calls, self._worded)
         answer: bytes | None = None
         try:
             async with asyncio.timeout(WHOLE_S):
@@ -55,7 +60,7 @@
             answer = call.late(WHOLE_S)
         except StreamClosedError:
             return self._release(stream)  # gone half way
-        log.info("call", extra=fields(answer=answer.decode().rstrip()))
+        log.info("call", extra=fields(answer=answer[:MOST_LOGGED].decode("utf-8", "replace").rstrip()))
         with contextlib.suppress(StreamClosedError):
             stream.write(answer)
             await see_off(stream)
--- a/magpieshift/lab/forms.py
+++ b/magpieshift/control/forms.py
@@ -1,4 +1,4 @@
-"""What the laboratory's files have in common: forms that tell all that is wrong with them at once."""
+"""What files for people have in common: forms that tell all that is wrong with them at once."""
 
 from __future__ import annotations
 
--- a/magpieshift/control/store.py
+++ b/magpieshift/control/store.py
@@ -95,7 +95,7 @@
     kept: list[Kept] = []
     at, end, damaged, lone, last = len(HEADER), min(len(HEADER), len(data)), 0, 0, b""
     while (start := data.find(MARK, at)) >= 0:
-        payload = _whole(data, start)
+        payload = whole(data, start)
         if payload is None:
             at = start + 1
             continue
@@ -114,7 +114,8 @@
     return Contents(tuple(kept), damaged, len(data) - end, lone)
 
 
-def _whole(data: bytes, start: int) -> bytes | None:
+def whole(data: bytes, start: int) -> bytes | None:
+    """The payload of the record that begins there; None where it is not whole, or its sum does not fit."""
     if start + HEAD.size > len(data):
         return None
     _, length, checksum = HEAD.unpack_from(data, start)
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -62,13 +62,29 @@
     def heeded(self, now_us: int, acts: Sequence[Act]) -> None: ...
 
 
+class Watch(Protocol):
+    """Who counts what becomes of requests and attempts; it is called on the way of each and must not fail."""
+
+    def answered(self, call: Call, cls: api.RequestClass, verdict: Verdict | None, took_us: int) -> None:
+        """A request has ended, with its final answer, or (None) because nobody waits for one."""
+        ...
+
+    def ended(self, outcome: Outcome, filled: bool, origin: bool) -> None:
+        """An attempt has ended: whether it named a source, and whether it went to the origin or named it."""
+        ...
+
+
 class _Open:
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
-    __slots__ = ("call", "cls", "deadline_us", "legs", "may_have_run", "op", "out", "owns_ident", "reply")
+    __slots__ = (
+        "call", "cls", "deadline_us", "legs", "may_have_run", "op", "out", "owns_ident", "reply", "taken_us",
+    )  # fmt: skip
 
-    def __init__(self, op: int, call: Call, cls: api.RequestClass, reply: Reply, deadline_us: int) -> None:
-        self.op, self.call, self.deadline_us = op, call, deadline_us
+    def __init__(
+        self, op: int, call: Call, cls: api.RequestClass, reply: Reply, taken_us: int, patience_us: int
+    ) -> None:
+        self.op, self.call, self.taken_us, self.deadline_us = op, call, taken_us, taken_us + patience_us
         self.cls = cls  # the figures it was taken under, whatever comes into force while it is open
         self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
         self.out: list[_Attempt] = []  # two at most, and that only where a copy is allowed
@@ -79,10 +95,11 @@
 class _Attempt:
     """An attempt that is out."""
 
-    __slots__ = ("exchange", "number", "request", "sent_us", "store", "timer")
+    __slots__ = ("exchange", "number", "request", "sent_us", "source", "store", "timer")
 
-    def __init__(self, request: _Open, number: int, store: int, sent_us: int) -> None:
+    def __init__(self, request: _Open, number: int, store: int, source: int, sent_us: int) -> None:
         self.request, self.number, self.store, self.sent_us = request, number, store, sent_us
+        self.source = source
         self.exchange: Exchange | None = None
         self.timer: Handle | None = None
 
@@ -119,6 +136,7 @@
         self._flush_due = False
         self._last_op = self._module_us = 0
         self.tap: Tap | None = None
+        self.watch: Watch | None = None
         self.object_number: Callable[[str], int] = object_number
         self.open_requests = 0
         self.held = 0  # bytes of the bodies of open requests
@@ -133,7 +151,7 @@
         # nobody waits longer than the class allows; an entry kept for an hour, with its timer, is a leak
         cls = self._settings.classes[call.cls]
         patience_us = min(call.patience_us, cls.deadline_us)
-        request = _Open(self._last_op, call, cls, reply, self._clock.now_us() + patience_us)
+        request = _Open(self._last_op, call, cls, reply, self._clock.now_us(), patience_us)
         self._requests[request.op] = request
         self.open_requests += 1
         self.held += len(call.body)
@@ -424,7 +442,7 @@
         if request.out and not self._copy_is_allowed(request, store):  # whatever the module believes
             log.error("attempt while one is out", extra=fields(op=op, id=request.call.ident))
             self._give_up_all(request)
-        attempt = _Attempt(request, request.legs, store, now)
+        attempt = _Attempt(request, request.legs, store, source, now)
         request.legs += 1
         request.out.append(attempt)
         left = request.deadline_us - now
@@ -480,6 +498,10 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         attempt.exchange = attempt.timer = None
+        if self.watch is not None:
+            ends = (self._members.get(attempt.store), self._members.get(attempt.source))
+            origin = any(m is not None and m.entry.kind == self._settings.origin_kind for m in ends)
+            self.watch.ended(result.outcome, attempt.source != attempt.store, origin)
         if result.outcome not in NEVER_RAN:
             request.may_have_run = True
         if result.outcome == Outcome.OK and request.reply is not None:
@@ -534,6 +556,10 @@
             self._idents.discard(request.call.ident)
             request.owns_ident = False
         self.held -= len(request.call.body)
+        if self.watch is not None:
+            verdict = answer.verdict if answer is not None else None
+            took_us = self._clock.now_us() - request.taken_us
+            self.watch.answered(request.call, request.cls, verdict, took_us)
         self._give_up_all(request)
         if request.call.body:
             request.call = replace(request.call, body=b"")
--- /dev/null
+++ b/magpieshift/installation/figures.py
@@ -0,0 +1,108 @@
+"""A router's own figures, for who compares versions: counters since its start, by class, as a fitting.
+
+They are counted where requests and attempts end (``Engine.watch``) and read at the door. A process has an
+incarnation, so that a restart is never read as a gain: who takes differences compares that first.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections.abc import Callable, Mapping
+from importlib.metadata import version
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from magpieshift import clock
+from magpieshift.app import EdgeRouter
+from magpieshift.core.model import Call, Verdict
+from magpieshift.installation.fitting import Plain
+from molecleat.interface import NEVER_RAN, Outcome, RequestClass
+
+MOST_CLASSES = 64  # counted by themselves; settings may name more over time
+MOST_US = 60_000_000
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class ClassFigures:
+    """What became of one class's requests. ``served`` are those within the wanted time."""
+
+    __slots__ = ("asked", "failed", "late", "latency", "left", "refused", "served")
+
+    def __init__(self) -> None:
+        self.asked = self.served = self.late = self.refused = self.failed = self.left = 0
+        self.latency = HdrHistogram(1, MOST_US, 2)  # microseconds of answers served; mergeable
+
+    def plain(self) -> dict[str, object]:
+        counts = {name: getattr(self, name) for name in self.__slots__ if name != "latency"}
+        return counts | {"latency": self.latency.encode().decode()}
+
+
+class Figures(Plain):
+    """Counts, and answers ``FIGURES`` at the door with one line of JSON."""
+
+    fitting = "figures"
+
+    def __init__(self, router: EdgeRouter, label: str) -> None:
+        self._router, self._label = router, label
+        self._classes: dict[str, ClassFigures] = {}
+        self._attempts = self._fills = self._origin = self._errors = 0
+        self._incarnation = f"{time.time_ns() // 1_000_000}.{os.getpid()}"
+        self._began_us = clock.source.steady_us()
+        router.engine.watch = self
+
+    def calls(self) -> Mapping[str, Callable[[], str]]:
+        return {"FIGURES": self._line}
+
+    async def end(self) -> None:
+        self._router.engine.watch = None
+
+    # --- as the engine's watch
+
+    def answered(self, call: Call, cls: RequestClass, verdict: Verdict | None, took_us: int) -> None:
+        name = call.class_name
+        counts = self._classes.get(name)
+        if counts is None:
+            if len(self._classes) >= MOST_CLASSES:
+                return
+            counts = self._classes[name] = ClassFigures()
+        counts.asked += 1
+        if verdict is None:
+            counts.left += 1
+        elif verdict == Verdict.SERVED:
+            flow = self._router.document.settings.flow_kb_per_s
+            sending_us = 1e6 * call.size_kb / flow if flow else 0.0
+            within = took_us <= cls.aim_us + cls.aim_stretch * sending_us
+            counts.served += within
+            counts.late += not within
+            counts.latency.record_value(max(1, min(took_us, MOST_US)))
+        elif verdict == Verdict.REFUSED:
+            counts.refused += 1
+        else:
+            counts.failed += 1
+
+    def ended(self, outcome: Outcome, filled: bool, origin: bool) -> None:
+        self._attempts += 1
+        self._fills += filled
+        self._origin += origin
+        self._errors += outcome not in NEVER_RAN and outcome != Outcome.OK
+
+    # --- at the door
+
+    def _line(self) -> str:
+        try:
+            pages = int(Path("/proc/self/statm").read_text().split()[1])
+            descriptors = len(os.listdir("/proc/self/fd"))
+        except (OSError, IndexError, ValueError):
+            pages = descriptors = 0  # not this system's way of telling: such figures are not compared
+        return json.dumps({
+            "name": self._router.document.name, "label": self._label, "program": version("magpieshift"),
+            "settings": self._router.version, "incarnation": self._incarnation,
+            "state": self._router.lifecycle.word, "up_us": clock.source.steady_us() - self._began_us,
+            "classes": {name: counts.plain() for name, counts in self._classes.items()},
+            "attempts": self._attempts, "fills": self._fills, "origin": self._origin,
+            "errors": self._errors, "cpu_us": time.process_time_ns() // 1000, "rss_kb": pages * PAGE // 1024,
+            "descriptors": descriptors, "open": self._router.engine.open_requests,
+        }, separators=(",", ":"))  # fmt: skip
--- a/magpieshift/installation/fitting.py
+++ b/magpieshift/installation/fitting.py
@@ -30,6 +30,10 @@
         """What operators may ask of it at the door: one line each, or ``lifecycle.NotNow``."""
         ...
 
+    def worded(self) -> Mapping[str, Callable[[str], str]]:
+        """The same, of calls that take the rest of the line."""
+        ...
+
     async def end(self) -> None:
         """Give back all it holds."""
         ...
@@ -49,5 +53,8 @@
     def calls(self) -> Mapping[str, Callable[[], str]]:
         return {}
 
+    def worded(self) -> Mapping[str, Callable[[str], str]]:
+        return {}
+
     async def end(self) -> None:
         pass
--- a/magpieshift/installation/runner.py
+++ b/magpieshift/installation/runner.py
@@ -38,6 +38,8 @@
     capture: str = ""  # the folder to record into
     capture_mb: int = 512  # what it may take there
     hash_key: str = ""  # a file with a key: object numbers become hashes under it
+    label: str = ""  # what this process runs, as a rollout names it; its figures carry it
+    term: int = -1  # of the rollout that starts it; where it is given, calls of older terms are turned down
 
     @property
     def overrides(self) -> Overrides:
@@ -109,9 +111,16 @@
 
                 hand_over = document.members.hand_over
                 self.fittings.append(Talking(self.router, membership, seed, hand_over))
+        if options.label or options.term >= 0:
+            from magpieshift.installation.figures import Figures
+            from magpieshift.installation.terms import Terms
+
+            self.fittings.append(Terms(self.router, options.term))
+            self.fittings.append(Figures(self.router, options.label))
         for fitting in self.fittings:
             self.router.committed.append(fitting.changed)
             self.router.calls.update(fitting.calls())
+            self.router.worded.update(fitting.worded())
 
     def reload(self) -> None:
         """SIGHUP: the settings file is offered as a version."""
--- a/magpieshift/lab/experiments/scenario.py
+++ b/magpieshift/lab/experiments/scenario.py
@@ -11,8 +11,8 @@
 from pydantic import Field
 
 from magpieshift.control import sexp
+from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
-from magpieshift.lab.forms import Form, Seconds, checked
 from magpieshift.lab.standins.emulated import places
 
 HEAD = "scenario"
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -11,12 +11,13 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 import signal
 import socket
 import sys
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -63,6 +64,7 @@
     name: str
     port: int
     console: int
+    doors: tuple[int, int]  # of a process and of one that takes over from it; ``console`` is in use
     members: int  # its private port
     public: int  # where the others reach it
     clients: int = 0  # where its clients reach it
@@ -106,6 +108,7 @@
         self._logs: dict[str, peers.Log] = {}
         self._relays: dict[tuple[str, str], Relay] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._tasks_of_ends: list[asyncio.Task[None]] = []
         self._watching: asyncio.Task[None] | None = None
         self._started: list[asyncio.subprocess.Process] = []  # all of them: a place may have had several
 
@@ -124,11 +127,11 @@
         await self.close()
 
     async def _begin(self) -> None:
-        ports = iter(free_ports(4 * self.count))
+        ports = iter(free_ports(5 * self.count))
         for number in range(self.count):
-            name, port, console, private, public = f"r{number}", *(next(ports) for _ in range(4))
+            name, port, console, second, private, public = f"r{number}", *(next(ports) for _ in range(5))
             await self.switch.add(name, private, public)
-            self.places[name] = Place(name, port, console, private, public)
+            self.places[name] = Place(name, port, console, (console, second), private, public)
             self._leave(name)  # until it serves
             self._logs[name] = peers.Log()
             await self._logs[name].start()
@@ -199,7 +202,7 @@
         """End all that was started, however things stand."""
         if self._watching is not None:
             self._watching.cancel()
-        for task in self._tasks:
+        for task in [*self._tasks, *self._tasks_of_ends]:
             task.cancel()
         for process in self._started:
             if process.returncode is None:
@@ -218,25 +221,42 @@
 
     # --- processes
 
-    async def start(self, *names: str) -> None:
-        """Start routers, all at once; wait for nothing."""
+    async def start(self, *names: str, words: Sequence[str] = (), program: Sequence[str] = ()) -> None:
+        """Start routers, all at once; wait for nothing. ``words`` go behind ``run``, ``program`` is another
+        one than the ground's."""
         for name in names:
             place = self.places[name]
             place.starts += 1
             place.paused = place.killed = False
             with (self.folder / f"{name}.{place.starts}.log").open("wb") as log:
-                program = self._program
+                begins = tuple(program) or self._program
                 if name in self._clocks:
                     clock = str(self.folder / f"{name}.clock")
-                    program = (sys.executable, "-m", "magpieshift.lab.proving.skewed", clock)
+                    begins = (sys.executable, "-m", "magpieshift.lab.proving.skewed", clock)
                 process = await asyncio.create_subprocess_exec(
-                    *program, "run", "--config", str(self.folder / f"{name}.sexp"),
-                    "--console", f"127.0.0.1:{place.console}",
-                    stderr=log, env=None,
+                    *begins, "run", "--config", str(self.folder / f"{name}.sexp"),
+                    "--console", f"127.0.0.1:{place.console}", *words,
+                    stderr=log, env=os.environ | {"TMPDIR": str(self.folder)},
                 )  # fmt: skip
                 place.process = process
                 self._started.append(process)
 
+    async def beside(self, name: str, door: int, words: Sequence[str], program: Sequence[str] = ()) -> None:
+        """Start a further process of a place, with a door of its own; whoever asked for it ends the other."""
+        place = self.places[name]
+        old, number = place.process, place.starts
+        place.console = door
+        await self.start(name, words=words, program=program)
+        if old is not None:
+            self._tasks_of_ends.append(asyncio.ensure_future(self._note_end(name, number, old)))
+
+    async def _note_end(self, name: str, number: int, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        self._idle.append((name, number, time.monotonic(), float("inf")))
+        served = " event=ready " in (self.folder / f"{name}.{number}.log").read_text(errors="replace")
+        if code != 0 and served and not self.places[name].killed:  # one that never served may be turned down
+            self.ended_wrong.append(f"a process of {name} ended with {code}")
+
     async def serving(self, *names: str) -> None:
         """Wait until these answer at their doors."""
 
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -10,8 +10,8 @@
 from pydantic import Field
 
 from magpieshift.control import sexp
+from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
-from magpieshift.lab.forms import Form, Seconds, checked
 from magpieshift.lab.proving.ground import CLIENTS, LOG
 from magpieshift.lab.proving.ways import ANY, ROUTERS
 from magpieshift.lab.standins.emulated import places
--- /dev/null
+++ b/tests/rollout/test_processes.py
@@ -0,0 +1,98 @@
+"""Rollouts of real routers under load: a good one, broken off and resumed; one that cannot start; terms."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.lab.proving import rollouts
+from magpieshift.lab.proving.ground import Ground
+from magpieshift.lab.proving.rollouts import NEW, OLD, begin, plan_for, starter
+from magpieshift.rollout.conduct import Conduct
+from magpieshift.rollout.hands import Hands, Overtaken, ask
+from magpieshift.rollout.journal import read
+
+ROUTERS = 4
+
+
+class Rollouts(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.ground = await self.enterAsyncContext(Ground(self.folder, ROUTERS, rate=40.0, slack_s=1.0))
+        await begin(self.ground)
+        self.ground.load()
+
+    async def labels(self, hands: Hands) -> dict[str, list[str]]:
+        return {
+            name: [figures.label for figures in (await hands.look(name)).values()]
+            for name in self.ground.places
+        }
+
+    async def end(self) -> None:
+        counted = await self.ground.settle()
+        self.assertEqual((self.ground.broken, self.ground.ended_wrong), ([], []))
+        self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
+        await self.ground.close()
+        self.assertEqual(self.ground.left_running(), 0)
+
+    async def test_a_good_one_is_broken_off_resumed_and_loses_nothing(self) -> None:
+        ground = self.ground
+        plan = plan_for(ground, **{"worse-by": {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}})
+        state = self.folder / "state"
+        first = asyncio.ensure_future(Conduct(plan, state, starter(ground)).run())
+
+        async def changed() -> bool:
+            return any(record["what"] == "intent" for record in read(state))
+
+        await ground.until(changed, "the first step is begun", 60.0)
+        first.cancel()  # in the middle of it
+        await asyncio.wait([first])
+        status = await asyncio.wait_for(Conduct(plan, state, starter(ground)).run(), 120.0)
+        self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
+        hands = Hands(plan, 0)
+        self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
+        steps = [record["step"] for record in read(state) if record["what"] == "done"]
+        self.assertEqual(len(steps), len(set(steps)))
+        with self.subTest("an older coordinator is turned down, and what it starts does not serve"):
+            with self.assertRaises(Overtaken):
+                await Hands(plan, 1, starter(ground)).replace("r0", OLD)
+            place = ground.places["r0"]
+            door = next(iter(await hands.look("r0")))
+            self.assertRegex(str(await ask(door, "AS 1 END")), "term 1 is over, the latest is 2")
+            serving, place.process = place.process, None
+            free = next(port for port in place.doors if port != door[1])
+            await ground.beside("r0", free, ("--label", OLD, "--term", "1"))
+            assert place.process is not None
+            self.assertEqual(await asyncio.wait_for(place.process.wait(), 30.0), 2)
+            place.process, place.console = serving, door[1]
+            self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
+        await self.end()
+
+    async def test_one_that_cannot_start_is_put_back_and_one_that_says_no_to_some_as_well(self) -> None:
+        ground = self.ground
+        for defect, by, why in (("no-start", 0.0, "could not be changed"), ("worse", 0.6, "served in time")):
+            with self.subTest(defect):
+                plan = plan_for(ground, **{"step-s": 2.0 if defect == "no-start" else 15.0, "name": defect})
+                state = self.folder / defect
+                conduct = Conduct(plan, state, starter(ground, defect, by))
+                status = await asyncio.wait_for(conduct.run(), 120.0)
+                self.assertEqual((status["way"], status["old"]), ("ended", sorted(ground.places)), status)
+                self.assertIn(why, status["why"])
+                self.assertEqual(await self.labels(Hands(plan, 0)), {name: [OLD] for name in ground.places})
+        await self.end()
+
+
+class Scenarios(unittest.TestCase):
+    def test_every_defect_can_be_put_in(self) -> None:
+        from magpieshift.lab.proving.faulty import DEFECTS
+
+        self.assertEqual({defect for defect, _, _ in rollouts.SCENARIOS.values()}, set(DEFECTS))
+
+
+if __name__ == "__main__":
+    unittest.main()
