--- a/magpieshift/rollout/judge.py
+++ b/magpieshift/rollout/judge.py
@@ -57,7 +57,9 @@
 
     total: float = 0.0
     weight: float = 0.0  # and the variance of the total, if single requests fail by themselves
-    squares: float = 0.0  # the same as it was seen from look to look
+    squares: float = 0.0  # of the parts, with weights, and of weights: what was seen from look to look
+    crossed: float = 0.0
+    weights: float = 0.0
     asked_new: int = 0
     asked_old: int = 0
     served_new: int = 0
@@ -82,6 +84,8 @@
         self.total += part
         self.weight += weight
         self.squares += part * part
+        self.crossed += weight * part
+        self.weights += weight * weight
 
     def between(self, wrongly: float) -> tuple[float, float]:
         """The difference of the shares, at least and at most: right at all times at once, but for a part
@@ -89,7 +93,8 @@
         if not self.weight:
             return -1.0, 1.0
         mean = self.total / self.weight
-        variance = max(self.weight, self.squares - self.total * mean)
+        seen = self.squares - 2 * mean * self.crossed + mean * mean * self.weights
+        variance = max(self.weight, seen)
         mix = MIX * variance / self.weight
         radius = math.sqrt((variance + mix) * math.log((variance + mix) / (mix * wrongly * wrongly)))
         return mean - radius / self.weight, mean + radius / self.weight
