--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -191,3 +191,51 @@
     click.echo(json.dumps(verdict | {"folder": str(where)}))
     if verdict["rules_broken"] or verdict["left_running"]:
         raise SystemExit(1)
+
+
+@click.command("trials", epilog="\b\nExample:\n  magpieshift lab trials --runs 4 --seed 100 --json")
+@click.option("--runs", default=1, show_default=True, help="Histories, seeds counting up.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--routers", default=6, show_default=True)
+@click.option("--seconds", default=40.0, show_default=True)
+@click.option("--faults", default=8, show_default=True)
+@click.option("--shrink/--no-shrink", default=True, help="Cut a failing one down to a scenario.")
+@click.option("--folder", default="", help="Where all is left; else in /tmp.")
+@JSON
+def trials(
+    runs: int, seed: int, routers: int, seconds: float, faults: int, shrink: bool, folder: str, as_json: bool
+) -> None:
+    """Random histories with real processes; exit code 1 if one broke a rule."""
+    import tempfile
+    from pathlib import Path
+
+    from magpieshift.lab.proving import run as runs_of
+    from magpieshift.lab.proving import scenario as scenarios
+    from magpieshift.lab.proving import trials as drawn
+
+    where = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="trials-"))
+    broken = 0
+    for number in range(seed, seed + runs):
+        run = drawn.draw(number, routers, seconds, faults)
+        verdict = asyncio.run(runs_of.play(run, where / f"{number}"))
+        wrong = bool(verdict["rules_broken"] or verdict["left_running"])
+        if wrong and shrink:
+            tries = iter(range(1000))
+
+            async def fails(smaller: scenarios.Run, number: int = number, tries: Any = tries) -> bool:
+                found = await runs_of.play(smaller, where / f"{number}-{next(tries)}")
+                return bool(found["rules_broken"])
+
+            small = asyncio.run(drawn.shrink(run, fails))
+            path = where / f"{number}-shrunk.sexp"
+            path.write_text(scenarios.written(small))
+            verdict["shrunk"] = str(path)
+        broken += wrong
+        if as_json:
+            click.echo(json.dumps(verdict | {"folder": str(where / f"{number}")}))
+        else:
+            told = "; ".join(verdict["rules_broken"]) or "all held"
+            click.echo(f"seed {number}: {len(run.faults)} faults, asked {verdict['asked']}, "
+                       f"served {verdict['served']}: {told}")  # fmt: skip
+    if broken:
+        raise SystemExit(1)
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -416,7 +416,10 @@
 cli.add_command(fleet_commands.members)
 cli.add_command(fleet_commands.talk)
 cli.add_command(rollouts.rollout)
-for command in (fleet_commands.lab_members, fleet_commands.lab_overload, fleet_commands.fleet_run):
+for command in (
+    fleet_commands.lab_members, fleet_commands.lab_overload, fleet_commands.fleet_run, fleet_commands.trials,
+    rollouts.lab_rollout,
+):  # fmt: skip
     lab.add_command(command)
 cli.add_command(captures.capture)
 cli.add_command(captures.replay)
--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -51,7 +51,7 @@
     show.rows(rows, as_json)
 
 
-def _conduct(plan: str, state: str, as_json: bool, fresh: bool) -> None:
+def _conduct(plan: str, state: str, as_json: bool, fresh: bool, back: bool = False) -> None:
     from magpieshift.log import setup
     from magpieshift.rollout.conduct import Conduct
     from magpieshift.rollout.journal import JournalError, read
@@ -71,12 +71,13 @@
     try:
         if fresh and read(folder):
             raise ConfigError(f"{state} holds a rollout already: resume it, or name another folder")
-        status = asyncio.run(Conduct(found, folder, told=told).run())
+        status = asyncio.run(Conduct(found, folder, told=told, back=back).run())
     except (JournalError, ValueError) as err:
         raise ConfigError(str(err)) from err
     if as_json:
         click.echo(json.dumps(status))
-    if status["way"] != "ended" or status["new"] != sorted(found.routers):
+    wanted = "old" if back else "new"
+    if status["way"] != "ended" or status[wanted] != sorted(found.routers):
         raise SystemExit(1)
 
 
@@ -92,10 +93,11 @@
 @rollout.command(epilog="\b\nExample:\n  magpieshift rollout resume plan.sexp --state rollouts/new-7")
 @click.argument("plan")
 @STATE
+@click.option("--back", "put_back", is_flag=True, help="Put all back in place of going on.")
 @JSON
-def resume(plan: str, state: str, as_json: bool) -> None:
-    """Go on with a rollout whose coordinator has ended, under a later term."""
-    _conduct(plan, state, as_json, fresh=False)
+def resume(plan: str, state: str, put_back: bool, as_json: bool) -> None:
+    """Go on with a rollout whose coordinator has ended or held, under a later term."""
+    _conduct(plan, state, as_json, fresh=False, back=put_back)
 
 
 @rollout.command(epilog="\b\nExample:\n  magpieshift rollout status --state rollouts/new-7 --watch")
@@ -130,6 +132,19 @@
         time.sleep(1.0)
 
 
+@rollout.command(epilog="\b\nExample:\n  magpieshift rollout report --state rollouts/v7")
+@STATE
+def report(state: str) -> None:
+    """An HTML report with plots of a rollout, under way or over; needs the laboratory's libraries."""
+    from magpieshift.lab.experiments import rolled
+    from magpieshift.rollout.journal import JournalError
+
+    try:
+        click.echo(rolled.write(Path(state)))
+    except (JournalError, ValueError) as err:
+        raise ConfigError(str(err)) from err
+
+
 def _say(word: str, help_text: str) -> click.Command:
     @rollout.command(word, help=help_text)
     @STATE
@@ -151,3 +166,46 @@
     ("back", "Put all back."),
 ):
     _say(_word, _help)
+
+
+@click.command("rollout", epilog="\b\nExample:\n  magpieshift lab rollout --scenario leak --simulated")
+@click.option("--scenario", default="", help="One of them; all where none is named.")
+@click.option("--routers", default=0, help="8 real ones, or 200 simulated.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--simulated", is_flag=True, help="The same plan, judge and coordinator on a fake clock.")
+@click.option("--runs", default=1, show_default=True, help="Simulated: so many, seeds counting up.")
+@click.option("--before", is_flag=True, help="Simulated, an ablation: compare with what was before.")
+@click.option("--folder", default="", help="Where logs, settings and the journal are left; else in /tmp.")
+@JSON
+def lab_rollout(
+    scenario: str, routers: int, seed: int, simulated: bool, runs: int, before: bool, folder: str,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """Whole rollouts: of real processes under load, or thousands simulated; exit code 1 if one was judged
+    wrongly or a rule was broken."""
+    import os
+    import tempfile
+
+    from magpieshift.cli import show
+    from magpieshift.lab.proving import rollouts as proving
+    from magpieshift.lab.simulated import rollout as simulation
+
+    known = simulation.SCENARIOS if simulated else proving.SCENARIOS
+    if scenario and scenario not in known:
+        raise click.UsageError(f"--scenario: found {scenario}, expected one of {', '.join(known)}")
+    wrong = False
+    for name in [scenario] if scenario else list(known):
+        if simulated:
+            row = simulation.many(name, routers or 200, runs, seed, os.cpu_count() or 1, before)
+            wrong |= bool(row["stopped_wrongly"] or row["not_ended"] or row["terms_at_once"])
+        else:
+            where = Path(folder or tempfile.mkdtemp(prefix="rollout-")) / name
+            row = asyncio.run(proving.play(name, where, routers or 8, seed)) | {"folder": str(where)}
+            bad = proving.SCENARIOS[name][2]
+            wrong |= bool(row["stopped_wrongly"] or row["rules_broken"] or row["caught"] != bad)
+        if as_json:
+            click.echo(json.dumps(row))
+        else:
+            show.rows([row], False)
+    if wrong:
+        raise SystemExit(1)
--- /dev/null
+++ b/magpieshift/lab/experiments/rolled.py
@@ -0,0 +1,97 @@
+"""The report of a rollout: one HTML file with its plots in it, from what its coordinator left behind."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+from magpieshift.rollout.conduct import HISTORY, STATUS
+from magpieshift.rollout.journal import read
+
+
+def _rows(folder: Path) -> list[dict[str, Any]]:
+    try:
+        lines = (folder / HISTORY).read_text(encoding="utf-8").splitlines()
+    except OSError:
+        return []
+    rows = []
+    for line in lines:
+        try:
+            rows.append(json.loads(line))
+        except ValueError:
+            continue  # torn off as the coordinator died
+    return rows
+
+
+def _png(rows: list[dict[str, Any]]) -> bytes:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (who, served, width) = pyplot.subplots(3, 1, figsize=(9, 8), sharex=True)
+    began = rows[0]["at"]
+    at = [row["at"] - began for row in rows]
+    who.step(at, [row["new"] for row in rows], label="new")
+    who.step(at, [row["old"] for row in rows], label="old")
+    who.step(at, [row["away"] for row in rows], label="away")
+    for name in sorted({name for row in rows for name in row["classes"]}):
+        with_it = [row for row in rows if name in row["classes"]]
+        when = [row["at"] - began for row in with_it]
+        for side, first in (("new", 0), ("old", 2)):
+            counts = [row["classes"][name][first : first + 2] for row in with_it]
+            shares = [good / max(1, asked) for good, asked in counts]
+            served.plot(when, shares, label=f"{name}, {side}", linestyle="-" if side == "new" else ":")
+        width.fill_between(
+            when, [row["classes"][name][4] for row in with_it], [row["classes"][name][5] for row in with_it],
+            alpha=0.3, label=name,
+        )  # fmt: skip
+    for row, before in zip(rows[1:], rows, strict=False):
+        if (row["stage"], row["way"]) != (before["stage"], before["way"]):
+            for axis in (who, served, width):
+                axis.axvline(row["at"] - began, color="grey", linewidth=0.8)
+    width.set_ylim(-0.2, 0.2)
+    who.set_ylabel("routers")
+    served.set_ylabel("served in time, of this stage")
+    width.set_ylabel("new less old, at least and most")
+    width.set_xlabel("seconds; grey: a stage ends, or it turns back")
+    for axis in (who, served, width):
+        axis.legend(fontsize=7, ncol=3)
+    out = io.BytesIO()
+    figure.savefig(out, dpi=90)
+    pyplot.close(figure)
+    return out.getvalue()
+
+
+def write(folder: Path) -> Path:
+    """Make the report of the rollout in this folder; its path. ``ValueError`` where none was carried out
+    there."""
+    records, rows = read(folder), _rows(folder)
+    if not records:
+        raise ValueError(f"{folder} holds no rollout")
+    try:
+        status = json.loads((folder / STATUS).read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        status = {"name": records[0].get("name", "-"), "way": "broken off", "why": ""}
+    picture = base64.b64encode(_png(rows)).decode() if rows else ""
+    steps = "\n".join(
+        "<tr>" + "".join(f"<td>{html.escape(str(record.get(key, '')))}</td>" for key in (
+            "at", "term", "what", "step", "router", "label", "stage", "way", "why")) + "</tr>"
+        for record in records
+    )  # fmt: skip
+    path = folder / "report.html"
+    name, way = html.escape(status["name"]), html.escape(status["way"])
+    path.write_text(f"""<!doctype html><meta charset="utf-8"><title>Rollout {name}</title>
+<style>body {{ font-family: sans-serif; max-width: 60em; margin: 2em auto }} td {{ padding: 0 .6em }}</style>
+<h1>Rollout {name}: {way}</h1>
+<p>{html.escape(str(status["why"]))}</p>
+{f'<img src="data:image/png;base64,{picture}" alt="routers, shares served, differences">' if picture else ""}
+<h2>What was decided</h2>
+<table><tr><th>at<th>term<th>what<th>step<th>router<th>label<th>stage<th>way<th>why</tr>
+{steps}</table>
+""", encoding="utf-8")
+    return path
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -38,15 +38,19 @@
 KNOWS_S = 3.0  # after a cut from the change log, or a pause, by when a router has read on
 COMING_S = 0.6  # after a planned end was asked for, clients may still come
 OBJECTS = 400
+FIRST_PORT, LAST_PORT, PORTS_EACH = 20_000, 32_000, 300
+PLACES = (LAST_PORT - FIRST_PORT) // PORTS_EACH
 SLACK_S = 0.05
 
 
 def free_ports(count: int) -> list[int]:
     """Ports of loopback that nobody has, for datagrams and connections, below those the system gives away
-    by itself: a process that starts again must find its own still free."""
+    by itself: a process that starts again must find its own still free. Grounds of several processes, side by
+    side, begin to look in places of their own."""
     found: list[int] = []
-    start = random.randrange(20_000, 30_000)  # not by the seed: other runs may go on beside this one
-    for port in range(start, 32_000):
+    place = os.getpid() % PLACES
+    start = FIRST_PORT + place * PORTS_EACH + random.randrange(PORTS_EACH // 2)  # not by the seed
+    for port in (*range(start, LAST_PORT), *range(FIRST_PORT, start)):
         with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
--- a/magpieshift/rollout/conduct.py
+++ b/magpieshift/rollout/conduct.py
@@ -23,6 +23,7 @@
 
 LOOK_S = 1.0
 STATUS, ASKED = "status.json", "asked"  # in the state's folder: what goes on, and what people ask of it
+HISTORY, MOST_HISTORY = "history.jsonl", 64 << 20  # bytes: some days of looks
 WORDS = ("pause", "go-on", "stop", "back")
 
 
@@ -35,9 +36,11 @@
 
     def __init__(
         self, plan: Plan, folder: Path, start: Start = by_command,
-        told: Callable[[Mapping[str, Any]], None] = lambda status: None,
+        told: Callable[[Mapping[str, Any]], None] = lambda status: None, back: bool = False,
     ) -> None:  # fmt: skip
+        """``back``: whatever was under way, put all back."""
         self.plan, self.folder, self._start, self._told = plan, folder, start, told
+        self._back = back
         self._journal: Journal | None = None
         self._stepping: asyncio.Task[None] | None = None
         self.status: dict[str, Any] = {}
@@ -71,6 +74,8 @@
             self._tell(coordinator, Verdict.UNKNOWN)
             return self.status
         await self._do(coordinator, coordinator.begin())
+        if self._back:
+            await self._do(coordinator, coordinator.stop("asked for on resuming", back=True))
         while not coordinator.over:
             began = time.monotonic()
             await self._look(coordinator)
@@ -167,8 +172,28 @@
         path = self.folder / f"{STATUS}.{os.getpid()}"
         path.write_text(json.dumps(self.status, indent=1))
         path.replace(self.folder / STATUS)  # whole or not at all, for who reads it
+        self._note()
         self._told(self.status)
 
+    def _note(self) -> None:
+        """A line for the report; it is no loss that matters where that cannot be written."""
+        status, path = self.status, self.folder / HISTORY
+        classes = {
+            name: [*row["new"], *row["old"], *row["between"]]
+            for name, row in status["figures"]["classes"].items()
+        }
+        row = {
+            "at": round(time.time(), 1), "way": status["way"], "stage": status["stage"],
+            "new": len(status["new"]), "old": len(status["old"]), "away": len(status["away"]),
+            "verdict": status["verdict"], "classes": classes,
+        }  # fmt: skip
+        try:
+            with path.open("a", encoding="utf-8") as file:
+                if file.tell() < MOST_HISTORY:
+                    file.write(json.dumps(row, separators=(",", ":")) + "\n")
+        except OSError as err:
+            log.warning("history not written", extra=fields(reason=err.strerror or err))
+
 
 def say(folder: Path, word: str, why: str = "") -> None:
     """Ask something of the coordinator that runs on this folder, at its next look."""
--- /dev/null
+++ b/tests/members/test_trials.py
@@ -0,0 +1,68 @@
+"""Histories that are drawn, and how a failing one is cut down."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.lab.proving import scenario, trials
+from magpieshift.lab.proving.scenario import AT_STORES, ON_ROUTERS, Run
+
+
+class Drawn(unittest.TestCase):
+    def test_each_is_a_run_that_is_read_from_its_file_as_the_same(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "history.sexp"
+            for seed in range(40):
+                run = trials.draw(seed)
+                self.assertEqual(run, trials.draw(seed))
+                path.write_text(scenario.written(run))
+                self.assertEqual(scenario.load_file(str(path)), run)
+
+    def test_they_end_in_time_leave_enough_and_meet_each_others_recovery(self) -> None:
+        kinds: set[str] = set()
+        close = 0
+        for seed in range(300):
+            run = trials.draw(seed)
+            kinds |= {fault.what for fault in run.faults}
+            for fault in run.faults:
+                self.assertLessEqual(fault.at_s + fault.for_s, trials.QUIET * run.seconds + 0.1)
+                beside = [o for o in run.faults if o is not fault and trials._overlaps(fault, o)]
+                if fault.what in ON_ROUTERS:
+                    self.assertNotIn(fault.who, [o.who for o in beside if o.what in ON_ROUTERS])
+                if fault.what in AT_STORES:
+                    same = [o for o in beside if o.what == fault.what and o.who == fault.who]
+                    self.assertEqual(same, [])
+                close += any(0 <= fault.at_s - o.at_s - o.for_s <= trials.SOON_S for o in run.faults)
+        self.assertEqual(kinds, set(trials.KINDS))
+        self.assertGreater(close, 300)
+
+
+class Shrunk(unittest.TestCase):
+    def test_what_fails_by_two_faults_together_is_cut_down_to_those(self) -> None:
+        for seed in range(20):
+            run = trials.draw(seed, faults=12)
+            first, last = run.faults[1].name, run.faults[-2].name
+
+            async def fails(candidate: Run, both: frozenset[str] = frozenset((first, last))) -> bool:
+                return both <= {fault.name for fault in candidate.faults}
+
+            found = asyncio.run(trials.shrink(run, fails))
+            self.assertEqual({fault.name for fault in found.faults}, {first, last})
+
+    def test_it_ends_however_often_it_would_fail(self) -> None:
+        played = 0
+
+        async def fails(candidate: Run) -> bool:
+            nonlocal played
+            played += 1
+            return played % 3 == 0
+
+        asyncio.run(trials.shrink(trials.draw(1, faults=12), fails, most=25))
+        self.assertLessEqual(played, 25)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 
+from magpieshift.lab.experiments import rolled
 from magpieshift.lab.proving import rollouts
 from magpieshift.lab.proving.ground import Ground
 from magpieshift.lab.proving.rollouts import NEW, OLD, begin, plan_for, starter
@@ -56,6 +57,9 @@
         self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
         hands = Hands(plan, 0)
         self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
+        report = rolled.write(state).read_text()
+        self.assertIn("Rollout proving: ended", report)
+        self.assertIn("data:image/png;base64,", report)
         steps = [record["step"] for record in read(state) if record["what"] == "done"]
         self.assertEqual(len(steps), len(set(steps)))
         with self.subTest("an older coordinator is turned down, and what it starts does not serve"):
@@ -73,6 +77,35 @@
             self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
         await self.end()
 
+    async def test_a_silent_router_is_waited_for_and_one_emptied_by_hand_is_not_judged(self) -> None:
+        ground = self.ground
+        loose = {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}
+        stages = {"all": {"share": 1.0, "soak-s": 1.0}}
+        plan = plan_for(ground, **{"worse-by": loose, "step-s": 8.0, "stages": stages})
+        state = self.folder / "state"
+        seen: list[str] = []
+        running = asyncio.ensure_future(
+            Conduct(plan, state, starter(ground), lambda status: seen.append(str(status["why"]))).run()
+        )
+
+        async def begun() -> bool:
+            return any(record["what"] == "done" for record in read(state))
+
+        await ground.until(begun, "the first has been changed", 60.0)
+        changed = {record["router"] for record in read(state) if record["what"] in ("intent", "done")}
+        still, by_hand = [name for name in ground.places if name not in changed][:2]
+        ground.pause(still)
+        self.assertEqual(await ground.call(by_hand, "LAMEDUCK"), "OK lame-duck")
+
+        async def waits() -> bool:
+            return any("away" in why and still in why for why in seen)
+
+        await ground.until(waits, "it is away, and nothing is begun", 90.0)
+        ground.wake(still)
+        status = await asyncio.wait_for(running, 120.0)
+        self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
+        await self.end()
+
     async def test_one_that_cannot_start_is_put_back_and_one_that_says_no_to_some_as_well(self) -> None:
         ground = self.ground
         for defect, by, why in (("no-start", 0.0, "could not be changed"), ("worse", 0.6, "served in time")):
