--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -55,6 +55,10 @@
         zones = {found.routers[name].zone for name in found.stages[1].targets}
         self.assertEqual(zones, {"a", "b"})
 
+    def test_the_documented_example_can_be_used(self) -> None:
+        found = plan.load_file(Path(__file__).resolve().parents[2] / "deploy" / "rollout.sexp")
+        self.assertEqual(found.worse, Worse())
+
     def test_all_mistakes_are_told_with_their_place(self) -> None:
         wrong = TEXT.replace("v7", "v6").replace("{console}", "{door}").replace("7007", "7000")
         wrong = wrong.replace("(share 0.5)", "(routers 9)").replace("(share 1)", "(zone c)")
