Keep a join's pause within three seconds of its start, whatever the seed

A campaign of seeds took 70 s a seed and looked like a storm: test_a_pause_during_a_join waited a tenth of a second for each number of its seed, 6,000 simulated seconds at seed 60000.

--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -150,7 +150,7 @@
         for seed in self.SEEDS:
             network = grown(Form(8), seed)
             network.start("late")
-            network.run(network.now_us + 100_000 * (seed + 1))
+            network.run(network.now_us + 100_000 * (seed % 30 + 1))
             network.pause("late", 5 * SECOND)
             self.quiet(network)
             self.none_removed(network)
