Keep a repeat of a keyed request within its window while it waits for a connection

Cause: the module judges the window when it decides (Router._may_send); an order for a connection that is not up waits up to the connect timeout (back/pool.Connection._waiting) and was then written whatever the time: Order.may_go asked for drains alone (engine._may_go, back/pool._write). Ruled out: counting the window from a later attempt (records.Job.ran is the first that may have run, its time that of the decision, before the write); an attempt taken for never run although written (Ticket.written is set before the write). Change: Engine._barred says how an order must end unwritten, asked when it begins and again right before it is written: list, client gone, window and group. An unlawful one ends as MOOT, which blames no store. Test: repeat_waits_past_its_window.txt, a listener whose queue is full; fails without the change (the write comes a second later).

--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -103,8 +103,8 @@
             self._waiting[ticket] = None
 
     def _write(self, ticket: Ticket) -> None:
-        if ticket.order is not None and not ticket.order.may_go():
-            self._clock.soon(lambda: ticket.done(NEVER_UP))  # never from within the caller's own call
+        if ticket.order is not None and (barred := ticket.order.barred()) is not None:
+            self._clock.soon(lambda: ticket.done(Result(barred)))  # never from within the caller's own call
             return self.rest()
         if len(self.link) == 0:
             self._heard_us = self._clock.now_us()
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -78,7 +78,7 @@
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
     __slots__ = (
-        "call", "cls", "deadline_us", "legs", "may_have_run", "op", "out", "owns_ident", "reply", "taken_us",
+        "call", "cls", "deadline_us", "legs", "op", "out", "owns_ident", "ran", "reply", "taken_us",
     )  # fmt: skip
 
     def __init__(
@@ -89,17 +89,20 @@
         self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
         self.out: list[_Attempt] = []  # two at most, and that only where a copy is allowed
         self.legs = 0
-        self.may_have_run = self.owns_ident = False
+        self.owns_ident = False
+        self.ran: tuple[int, Member] | None = None  # the first attempt that may have run: when begun, and where
 
 
 class _Attempt:
     """An attempt that is out."""
 
-    __slots__ = ("exchange", "number", "request", "sent_us", "source", "store", "timer")
+    __slots__ = ("exchange", "member", "number", "request", "sent_us", "source", "store", "timer")
 
-    def __init__(self, request: _Open, number: int, store: int, source: int, sent_us: int) -> None:
+    def __init__(
+        self, request: _Open, number: int, store: int, source: int, sent_us: int, member: Member | None
+    ) -> None:
         self.request, self.number, self.store, self.sent_us = request, number, store, sent_us
-        self.source = source
+        self.source, self.member = source, member  # as listed when it began
         self.exchange: Exchange | None = None
         self.timer: Handle | None = None
 
@@ -442,23 +445,22 @@
         if request.out and not self._copy_is_allowed(request, store):  # whatever the module believes
             log.error("attempt while one is out", extra=fields(op=op, id=request.call.ident))
             self._give_up_all(request)
-        attempt = _Attempt(request, request.legs, store, source, now)
+        attempt = _Attempt(request, request.legs, store, source, now, self._members.get(store))
         request.legs += 1
         request.out.append(attempt)
         left = request.deadline_us - now
         timeout_us = min(timeout_us or left, left)
         if request.reply is None or timeout_us <= 0 or attempt.number >= self._settings.max_attempts:
             return self._settle(attempt, Result(Outcome.MOOT))
-        if not self._may_go(store, source):
-            log.error("attempt at a store that may not be sent to", extra=fields(id=request.call.ident))
-            return self._settle(attempt, Result(Outcome.CONNECT_FAILED))
+        if (barred := self._barred(attempt)) is not None:
+            log.error("unlawful attempt", extra=fields(id=request.call.ident, outcome=barred.name.lower()))
+            return self._settle(attempt, Result(barred))
         target, supplier = self._members[store], self._members[source]
         if target.entry.kind == self._settings.parent_kind:
             keep = 0  # parents know no ranks
         by, deadline = (supplier if source != store else None), now + timeout_us
-        call, may_go = request.call, lambda: self._may_go(store, source)
         attempt.timer = self._clock.after(timeout_us, lambda: self._give_up(attempt, Outcome.TIMEOUT))
-        order = Order(call, target, by, keep, age_us, mode, deadline, may_go)
+        order = Order(request.call, target, by, keep, age_us, mode, deadline, lambda: self._barred(attempt))
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
     def _copy_is_allowed(self, request: _Open, store: int) -> bool:
@@ -471,14 +473,30 @@
         for attempt in list(request.out):
             self._give_up(attempt, Outcome.CANCELLED)
 
-    def _may_go(self, store: int, source: int) -> bool:
-        """Whether the list allows an order. Asked again when one that had to wait for its connection is about
-        to be written: its store or source may drain by then, and the rule counts from when we were told."""
-        for number in (store, source):
+    def _barred(self, attempt: _Attempt) -> Outcome | None:
+        """How an attempt that is not sent yet must end, if it may not be sent. Asked again when one that had
+        to wait for its connection is about to be written: its store or source may drain by then, and the rule
+        counts from when we were told; its client may have gone, or the window for a repeat have passed."""
+        request = attempt.request
+        for number in (attempt.store, attempt.source):
             member = self._members.get(number)
             if member is None or member.entry.phase != Phase.READY:
-                return False
-        return True
+                return Outcome.CONNECT_FAILED
+        gone = request.reply is None or self._clock.now_us() >= request.deadline_us
+        return Outcome.MOOT if gone or not self._repeat_is_lawful(request, attempt.store) else None
+
+    def _repeat_is_lawful(self, request: _Open, store: int) -> bool:
+        """Whether the store may get a request now that may have run already."""
+        cls = request.cls
+        if request.ran is None or cls.effect == Effect.FREE:
+            return True
+        begun_us, first = request.ran
+        late = self._clock.now_us() + self._settings.tick_us >= begun_us + cls.dedup_us
+        if cls.effect != Effect.KEYED or late:
+            return False
+        entry, again = first.entry, self._members[store].entry
+        alike = {Scope.ZONE: entry.zone == again.zone, Scope.CELL: entry.cell == again.cell}
+        return alike.get(cls.scope, True)
 
     def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
         """Call off an attempt that is out."""
@@ -502,8 +520,8 @@
             ends = (self._members.get(attempt.store), self._members.get(attempt.source))
             origin = any(m is not None and m.entry.kind == self._settings.origin_kind for m in ends)
             self.watch.ended(result.outcome, attempt.source != attempt.store, origin)
-        if result.outcome not in NEVER_RAN:
-            request.may_have_run = True
+        if result.outcome not in NEVER_RAN and request.ran is None and attempt.member is not None:
+            request.ran = attempt.sent_us, attempt.member
         if result.outcome == Outcome.OK and request.reply is not None:
             self._close(request, Answer(Verdict.SERVED, result.body, result.current))
         self._post(
@@ -518,7 +536,7 @@
     def _refusal_is_lawful(self, request: _Open) -> bool:
         cls = request.cls
         dropped_by_all = cls.effect == Effect.KEYED and cls.scope == Scope.ALL
-        never_ran = not request.may_have_run and not request.out
+        never_ran = request.ran is None and not request.out
         return cls.effect == Effect.FREE or dropped_by_all or never_ran
 
     def _refuse(self, action: api.Refuse) -> None:
--- a/magpieshift/core/model.py
+++ b/magpieshift/core/model.py
@@ -77,7 +77,8 @@
     age_us: int
     mode: int
     deadline_us: int
-    may_go: Callable[[], bool]  # asked right before it is written
+    barred: Callable[[], api.Outcome | None]
+    """Asked right before it is written: how it ends unwritten, or None where it may go."""
 
 
 @dataclass(slots=True)
--- a/tests/control/test_transaction.py
+++ b/tests/control/test_transaction.py
@@ -216,7 +216,7 @@
         self.engine.list_changed(api.ListKind.DELTA, 2, [self.member("s-cache", 0, 1, 1, Phase.DRAINING)])
         commit()
         self.clock.run()
-        self.assertFalse(waiting.may_go())
+        self.assertEqual(waiting.barred(), api.Outcome.CONNECT_FAILED)
         for _ in range(20):
             self.ask()
         self.assertEqual({order.target.ident for order, _ in self.back.orders[1:]}, {"s-origin"})
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -255,11 +255,11 @@
         """A connection takes up to 0.4 s to come up, and the rule gives 0.25 s from when we were told."""
         self.ask()
         self.end(Result(Outcome.MISS))
-        may_go = self.back.orders[1][0].may_go
-        self.assertTrue(may_go())
+        barred = self.back.orders[1][0].barred
+        self.assertIsNone(barred())
         draining = self.member("s-origin", 2, 0, 2, Phase.DRAINING)  # as the source of the fill
         self.engine.list_changed(api.ListKind.DELTA, 2, [draining])
-        self.assertFalse(may_go())
+        self.assertEqual(barred(), Outcome.CONNECT_FAILED)
 
     def test_an_attempt_at_a_store_that_left_the_list_never_ran(self) -> None:
         op = self.ask()
--- a/tests/real/test_exchanges.py
+++ b/tests/real/test_exchanges.py
@@ -3,8 +3,9 @@
 import subprocess
 import sys
 import unittest
+from typing import Any
 
-from tests.real.exchange import HERE, ROOT, Program
+from tests.real.exchange import HERE, ROOT, Program, given
 
 
 class Exchanges(unittest.TestCase):
@@ -12,9 +13,9 @@
         names = sorted(path.stem for path in (HERE / "exchanges").glob("*.txt"))
         self.assertTrue(names)
         for name in names:
-            door = "\ndoor" in (HERE / "exchanges" / f"{name}.txt").read_text()
-            patient = not name.startswith("silent_")
-            with self.subTest(name), Program(patient=patient, door=door) as program:
+            text = (HERE / "exchanges" / f"{name}.txt").read_text()
+            start: dict[str, Any] = {"door": "\ndoor" in text, "patient": not name.startswith("silent_")}
+            with self.subTest(name), Program(**start, changes=given(text)) as program:
                 program.play(name)
 
     def test_bytes_may_be_cut_anywhere(self) -> None:
