Close every client connection by one lingering close, and answer what has come by the end

Cause, in front/server.py and app.py before this change: - Connection._end closed at once (idle, stalled, late, evicted, too many, the end): over unread bytes that is a reset. _finish and streams.see_off lingered each in its own way. - a request that had come but was not read, on a connection closed as idle or at the end, or in the listener's queue at a plain SIGTERM, got nothing. - half a frame for 2 s dropped the answers of requests before it. - serve did not read while unsent answers stood above the mark: neither cancel nor close was seen, and attempts began after the client had gone. - bytes that are there at once were read without a turn for anybody else. - EMFILE on accept raised out of the handler, the listener stayed readable, and the loop did nothing else. - SIGTERM before the handlers stand exits with -15, as does a second one while the interpreter ends; SIGHUP likewise. Ruled out: half-closed and reset clients behind an unread request (already taken back before the module hears of it). Change: streams.LingeringClose, LingeringStream, Listener (used by the front and the door); Connection.resting asks the socket; Connection.leave answers what was taken; requests of a client that takes nothing wait in the engine (Engine.submit waits, go_on) with their deadline running, and it is always read from; FrontServer.end. One test is replaced by a stricter one: it held that such a client is not read from.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -26,7 +26,7 @@
 from magpieshift.front.server import FrontServer
 from magpieshift.lifecycle import LAST_CALL_US, Lifecycle, State
 from magpieshift.log import fields, setup
-from magpieshift.streams import listen_socket, steer_to_second
+from magpieshift.streams import LINGER_S, listen_socket, steer_to_second
 from magpieshift.transaction import NotPrepared, Part, Prepared, TurnedDown, prepare
 from molecleat import interface as api
 
@@ -39,7 +39,8 @@
 RESERVED = 48  # descriptors for the listener, the change log, the log, the event loop and what is closing
 SLACK = 24  # clients keep to a third, but we may see one come before we see another go
 DRAIN_S = 0.8  # new connections come for 0.4 s after SIGTERM, and requests on open ones for 0.2 s more
-LAST_S = 0.6  # what is open so long after the longest wait is answered as it is; SIGKILL comes 0.1 s later
+LAST_S = 0.55  # what is open so long after the longest wait is answered as it is; SIGKILL comes 0.15 s later
+CLOSE_S = 0.1  # in which all connections are closed then, without destroying what was written on them
 CATCH_UP_S = 1.5  # for the change log, where another process serves as long as it takes
 LONGEST_WAIT_S = 3.0  # however long clients wait
 TIDY_S, EMPTYING_TIDY_S = 0.5, 0.1
@@ -291,8 +292,10 @@
             if self._claim is not None and self._claim.another_lives:
                 told = await self._feed.caught_up(CATCH_UP_S)
                 log.info("replacing another process", extra=fields(caught_up=told, seq=self._changes.last))
-            if not self.ending:  # it may have been told to while it waited
-                self._listen()
+            if self.ending:  # it was told to before it took anything: nothing is owed
+                tidying.cancel()
+                return self.close()
+            self._listen()
         except BaseException:
             tidying.cancel()
             self.close()
@@ -303,14 +306,18 @@
         await asyncio.sleep(LAST_CALL_US / 1e6)
         self._front.announce_end()
         if self.lifecycle.replaced:
-            self._front.leave()
+            self._front.stop_listening()
         await asyncio.sleep(DRAIN_S - LAST_CALL_US / 1e6)
         waits_s = max(cls.deadline_us for cls in self.document.settings.classes) / 1e6
+        end = asyncio.get_running_loop().time() + min(waits_s, LONGEST_WAIT_S) + LAST_S - DRAIN_S
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(min(waits_s, LONGEST_WAIT_S) + LAST_S - DRAIN_S):
+            async with asyncio.timeout_at(end):
                 while self.engine.open_requests or self._front.owing:
                     await asyncio.sleep(0.01)
         self.engine.end_all()
+        # what comes from here on is answered at once, and all that rests is closed
+        left_s = end - asyncio.get_running_loop().time()
+        await self._front.end(min(max(left_s, 0.0) + CLOSE_S, LINGER_S))
         tidying.cancel()
         self.close()
         log.info("ended")
@@ -319,7 +326,6 @@
         """Give back every socket, whatever is open."""
         if self._door is not None:
             self._door.close()
-        self._front.stop()
         self._front.close_all()
         if self._claim is not None:
             self._claim.close()
@@ -342,19 +348,31 @@
 
 
 async def serve(
-    router: EdgeRouter, reload: Callable[[], None], started: Callable[[], None] = lambda: None
+    router: EdgeRouter,
+    reload: Callable[[], None],
+    started: Callable[[], None] = lambda: None,
+    hangups: Sequence[int] = (),
 ) -> None:
-    """Run a router as the process's own: SIGTERM and SIGINT begin its end, SIGHUP calls ``reload``;
-    ``started`` is called once it serves."""
+    """Run a router as the process's own: SIGTERM and SIGINT begin its end, SIGHUP calls ``reload``, as do
+    ``hangups`` that came before; ``started`` is called once it serves."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.stop)
     loop.add_signal_handler(signal.SIGHUP, reload)  # unhandled, it killed the router with all that was open
+    if hangups:
+        reload()
     gc.freeze()
-    await router.run(started)
+    try:
+        await router.run(started)
+    finally:  # the loop would leave them to the system, and a second one kill what is about to exit with 0
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
 
 
-async def _run(config: Config, read: Callable[[], Config], traced: bool = False) -> None:
+async def _run(
+    config: Config, read: Callable[[], Config], traced: bool = False, hangups: Sequence[int] = ()
+) -> None:
     """The platform's router: its configuration is a file, and has no versions."""
     router = EdgeRouter(config)
     if traced:
@@ -382,13 +400,14 @@
 
     applying = asyncio.ensure_future(apply())
     try:
-        await serve(router, reload)
+        await serve(router, reload, hangups=hangups)
     finally:
         applying.cancel()
 
 
-def main(environ: Mapping[str, str] | None = None) -> int:
-    """Run one edge router as the environment says; the process's exit code."""
+def main(environ: Mapping[str, str] | None = None, hangups: Sequence[int] = ()) -> int:
+    """Run one edge router as the environment says; the process's exit code. ``hangups`` grows by each SIGHUP
+    that comes before the router handles them itself."""
     environ = os.environ if environ is None else environ
     traced = environ.get("EDGE_TRACE", "") == "1"
     setup("DEBUG" if traced else "INFO")
@@ -399,7 +418,7 @@
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_run(config, read, traced))
+        asyncio.run(_run(config, read, traced, hangups))
     except OSError as err:
         print(f"magpieshift: {err}", file=sys.stderr)
         return 1
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -90,7 +90,7 @@
         self.out: list[_Attempt] = []  # two at most, and that only where a copy is allowed
         self.legs = 0
         self.owns_ident = False
-        self.ran: tuple[int, Member] | None = None  # the first attempt that may have run: when begun, and where
+        self.ran: tuple[int, Member] | None = None  # when the first that may have run began, and where
 
 
 class _Attempt:
@@ -146,9 +146,9 @@
 
     # --- what a front says
 
-    def submit(self, call: Call, reply: Reply) -> int:
+    def submit(self, call: Call, reply: Reply, waits: bool = False) -> int:
         """Take a request; ``reply`` is called once with its final answer, unless it is abandoned, and never
-        before this returns."""
+        before this returns. One that ``waits`` is not decided on until ``go_on``; its deadline runs."""
         taken = call.ident in self._idents
         self._last_op += 1
         # nobody waits longer than the class allows; an entry kept for an hour, with its timer, is a leak
@@ -172,13 +172,22 @@
             return request.op
         if self.tap is not None:
             self.tap.name(request.op, call.ident)
+        if not waits:
+            self.go_on(request.op)
+        return request.op
+
+    def go_on(self, op: int) -> None:
+        """Let the module decide on a request that is open."""
+        request = self._requests.get(op)
+        if request is None or request.reply is None:
+            return
+        call, left_us = request.call, request.deadline_us - self._clock.now_us()
         self._post(
             api.Request(
-                request.op, call.cls, 0, self.object_number(call.key), patience_us, call.size_kb,
-                call.group, call.part, call.repeat, cls.write,
+                op, call.cls, 0, self.object_number(call.key), left_us, call.size_kb,
+                call.group, call.part, call.repeat, request.cls.write,
             )
         )  # fmt: skip
-        return request.op
 
     def abandon(self, op: int) -> None:
         """Nobody waits for this request any more."""
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -3,28 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections.abc import Callable, Mapping
 
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
+from tornado.iostream import StreamClosedError
 
 from magpieshift.clock import LoopClock
 from magpieshift.config import Document
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Answer, Call
-from magpieshift.front.frames import FrameError
-from magpieshift.front.session import Abandoned, Asked, Chunks, ReadyAsked, Session, Unusable
+from magpieshift.front.frames import MOST, FrameError
+from magpieshift.front.session import MOST_OPEN, Abandoned, Asked, Chunks, ReadyAsked, Session, Unusable
 from magpieshift.lifecycle import Lifecycle, State
 from magpieshift.log import fields
-from magpieshift.streams import LINGER_S, discard
+from magpieshift.streams import READ_SIZE, LingeringClose, LingeringStream, Listener
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 8_192  # many requests; the stream clears as much memory for each read
-HIGH_WATER = 1 << 20  # unsent bytes of one connection, above which no more of it is read
+MOST_READ = 1 << 20  # bytes of one connection that its stream holds unparsed
+AT_ONCE = 8  # reads of one connection before others have their turn: a flood costs its own connection alone
+HIGH_WATER = 1 << 20  # unsent bytes of one connection, above which its new requests wait
+MOST_UNSENT = HIGH_WATER + MOST_OPEN * MOST  # it can owe no more than that to whoever keeps to the protocol
 WHOLE_S = 2.0  # for a client to send a whole frame, from its connecting or from the frame's first byte
 IDLE_S = 60.0  # with nothing open; clients close after 4 s
 STALL_S = 10.0  # without taking a byte of its answers
@@ -34,16 +34,14 @@
 class Connection:
     """One client: owner of its socket, of its session and of the bytes held for it."""
 
-    def __init__(self, server: FrontServer, stream: IOStream) -> None:
+    def __init__(self, server: FrontServer, stream: LingeringStream) -> None:
         self._server, self._stream = server, stream
         self._session = Session(server.classes)
         self._ops: dict[int, int] = {}  # open stream: the engine's number
-        self._settled = asyncio.Event()  # set while nothing is open or unsent
-        self._drained = asyncio.Event()  # set while its unsent answers are few
-        self._settled.set()
-        self._drained.set()
+        self._held: dict[int, None] = {}  # of those, the ones that wait for it to take its answers
         self._unsent = 0
-        self._ended = self._told_unusable = False
+        self._read: asyncio.Future[bytes] | None = None
+        self._ended = self._leaving = self._told_unusable = False
         self.held = 0
         self._owes_since_us: int | None = server.clock.now_us()  # since when a whole frame is to come
         self.heard_us = self._moved_us = server.clock.now_us()
@@ -52,6 +50,13 @@
     def busy(self) -> bool:
         return bool(self._ops) or self._unsent > 0
 
+    @property
+    def resting(self) -> bool:
+        """Whether nothing is owed on it: nothing open or unsent, and nothing come that was not read yet. A
+        request may have come just now, and one that came before the close has a right to its answer."""
+        read = self._read is not None and self._read.done()
+        return not (self.busy or read or self._stream.unread)
+
     @property
     def spare(self) -> tuple[bool, int]:
         """The least goes first where room is needed: who has never asked, then who was silent longest."""
@@ -62,56 +67,66 @@
         return self._unsent > 0
 
     async def serve(self) -> None:
-        """Read until the client leaves or errs; then give up what it has open."""
+        """Read until the client leaves or is let go; then give up what it has open. It is always read from,
+        also when it takes nothing: its cancels and its close must be seen."""
+        in_one_turn = 0
         try:
             while True:
-                await self._drained.wait()  # a client that does not take its answers is not read from
-                data = await self._stream.read_bytes(READ_SIZE, partial=True)
-                self.heard_us = self._server.clock.now_us()
-                before = self._session.frames
-                for event in self._session.feed(data):
-                    self._on(event)
-                if self._session.pending == 0 and self._session.frames > before:
-                    self._owes_since_us = None
-                elif self._owes_since_us is None or self._session.frames > before:
-                    self._owes_since_us = self.heard_us
-                self._account()
-        except FrameError as err:
-            log.warning("bad frame", extra=fields(reason=err))
-            await self._finish(str(err))
+                self._read = asyncio.ensure_future(self._stream.read_bytes(READ_SIZE, partial=True))
+                in_one_turn = in_one_turn + 1 if self._read.done() else 0
+                data = await self._read
+                if not self._leaving:
+                    self._take(data)
+                if in_one_turn >= AT_ONCE:
+                    in_one_turn = 0
+                    await asyncio.sleep(0)
         except StreamClosedError:
             pass
+        except Exception:
+            log.exception("connection failed")
         finally:
             self._end()
 
-    async def _finish(self, reason: str) -> None:
-        """Tell of the error, answer what was taken before it, and close. Until then what comes is read and
-        thrown away: closing over unread bytes would reset the connection and destroy the last answers."""
-        self._write(self._session.error(reason))
-        discarding = asyncio.ensure_future(discard(self._stream))
+    def _take(self, data: bytes) -> None:
+        """What the client sent."""
+        self.heard_us = self._server.clock.now_us()
+        before = self._session.frames
         try:
-            await asyncio.wait(
-                [discarding, asyncio.ensure_future(self._settled.wait())],
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not self._stream.closed():
-                self._stream.socket.shutdown(socket.SHUT_WR)
-                await asyncio.wait([discarding], timeout=LINGER_S)
-        except OSError:
-            pass
-        finally:
-            discarding.cancel()
+            for event in self._session.feed(data):
+                self._on(event)
+        except FrameError as err:
+            log.warning("bad frame", extra=fields(reason=err))
+            return self.leave(str(err))
+        except Exception:
+            log.exception("client's bytes not taken")
+            return self.leave("internal error")
+        if self._session.pending == 0 and self._session.frames > before:
+            self._owes_since_us = None
+        elif self._owes_since_us is None or self._session.frames > before:
+            self._owes_since_us = self.heard_us
+        self._account()
+
+    def leave(self, reason: str) -> None:
+        """Tell the client of an error, answer what was taken before it, and close. From here on what comes is
+        read and thrown away."""
+        if not self._leaving:
+            self._leaving = True
+            self._write(self._session.error(reason))
+            self._settle()
 
     def _on(self, event: Asked | Unusable | Abandoned | ReadyAsked) -> None:
         engine, stream = self._server.engine, event.stream
         match event:
-            case Asked() if self._server.lifecycle.turning_away:  # told, and asking on: answered at once
+            case Asked() if self._server.turning_away:  # told, and asking on: answered at once
                 self._write(self._session.answer(stream, engine.turned_away()))
             case Asked(call=call) if self._server.relieved is not None and self._server.relieved(call):
                 self._write(self._session.answer(stream, engine.turned_away()))
             case Asked(call=call):
-                self._ops[stream] = engine.submit(call, lambda answer: self._answer(stream, answer))
-                self._settled.clear()
+                waits = self._unsent > HIGH_WATER
+                op = engine.submit(call, lambda answer: self._answer(stream, answer), waits)
+                self._ops[stream] = op
+                if waits:
+                    self._held[stream] = None
             case Unusable(reason=reason, verdict=verdict):
                 if not self._told_unusable:  # once for each client, or one of them fills the log
                     log.warning("unusable request", extra=fields(reason=reason))
@@ -131,11 +146,13 @@
     def _release(self, stream: int) -> None:
         """The one place where an open request leaves its connection."""
         self._ops.pop(stream, None)
+        self._held.pop(stream, None)
         self._settle()
 
     def _settle(self) -> None:
-        if not self._ops and not self._unsent:
-            self._settled.set()
+        """Close once nothing is owed to a client that is let go."""
+        if self._leaving and not self.busy:
+            self._end()
 
     def no_more(self) -> None:
         self._write(self._session.no_more())
@@ -183,14 +200,15 @@
         if self._unsent == 0 or size < 0:
             self._moved_us = self._server.clock.now_us()
         self._unsent += size
-        if self._unsent > HIGH_WATER:
-            self._drained.clear()
-        else:
-            self._drained.set()
-        if self._unsent > 0:
-            self._settled.clear()
+        while self._held and self._unsent <= HIGH_WATER:
+            stream = next(iter(self._held))
+            del self._held[stream]
+            self._server.engine.go_on(self._ops[stream])
         self._settle()
         self._account()
+        if self._unsent > MOST_UNSENT:  # it asks without end, and takes no answer
+            log.warning("slow client dropped", extra=fields(held=self.held))
+            self._end()
 
     def _account(self) -> None:
         """Tell the server how much is held for this client: what it has not taken, and a frame in part."""
@@ -211,7 +229,7 @@
         self._stream.close()
 
 
-class FrontServer(TCPServer):
+class FrontServer:
     """Listens for clients; owner of all their connections.
 
     ``classes`` numbers the classes by name; it is whoever made the server that keeps it true, in place."""
@@ -227,15 +245,16 @@
         most_held: int,
         lifecycle: Lifecycle,
     ) -> None:
-        super().__init__(max_buffer_size=1 << 20, read_chunk_size=READ_SIZE)
         self.engine, self.clock, self.classes = engine, clock, classes
         self.lifecycle = lifecycle
         self.held = 0  # bytes held for all clients
         self.relieved: Callable[[Call], bool] | None = None  # whether a request is a neighbour's to take
         self.most_held, self.most_connections = most_held, most_connections
         self._connections: set[Connection] = set()
-        self._listener: socket.socket | None = None
-        self._late: list[asyncio.Future[None]] = []  # of the connections that the queue held at the end
+        self._listener: Listener | None = None
+        self._closing = LingeringClose()
+        self._ending = False
+        self._serving: set[asyncio.Task[None]] = set()
 
     def prepare(self, old: Document, new: Document) -> Callable[[], None]:
         """Nothing of its own to make ready: classes are the engine's, bounds the limits'."""
@@ -245,20 +264,33 @@
         """The classes that requests may name."""
         return {"classes": sorted(self.classes)}
 
-    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+    def _taken(self, sock: socket.socket) -> None:
+        self.serve(LingeringStream(sock, self._closing, MOST_READ))
+
+    def serve(self, stream: LingeringStream) -> None:
+        """A client has connected: serve it until it leaves or is let go."""
         stream.set_nodelay(True)
         if len(self._connections) >= self.most_connections and not self._close_idle_one():
             log.warning("too many clients", extra=fields(open=len(self._connections)))
             return stream.close()
         connection = Connection(self, stream)
         self._connections.add(connection)
-        await connection.serve()
+        serving = asyncio.ensure_future(connection.serve())
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
 
     def _close_idle_one(self) -> bool:
-        idle = [c for c in self._connections if not c.busy]
-        if idle:
-            min(idle, key=lambda c: c.spare).close()
-        return bool(idle)
+        for connection in sorted((c for c in self._connections if not c.busy), key=lambda c: c.spare):
+            if connection.resting:
+                connection.close()
+                return True
+        return False
+
+    def _short(self) -> None:
+        """Descriptors have run out: who is on the way out, or rests, gives one back."""
+        if len(self._closing) == 0:
+            self._close_idle_one()
+        self._closing.drop_oldest()
 
     def tidy(self) -> None:
         """Close connections on which nothing is open and nothing has come for long, and those whose clients
@@ -269,10 +301,12 @@
         if self.lifecycle.last_call:
             self.announce_end()
         for connection in list(self._connections):
-            unused = not connection.busy and connection.heard_us < idle
-            left = lame and connection.left(hush)
-            if unused or left or connection.stalled(stall) or connection.late(whole):
+            late = connection.late(whole)
+            unused = late or connection.heard_us < idle or (lame and connection.left(hush))
+            if connection.stalled(stall) or (unused and connection.resting):
                 connection.close()
+            elif late:  # what it asked before is answered yet
+                connection.leave("frame not whole in time")
 
     def account(self, change: int) -> None:
         """Memory is bounded: the client for which most is held goes, and can tell that answers broke off."""
@@ -283,20 +317,13 @@
             greediest.close()
 
     def listen_on(self, sock: socket.socket) -> None:
-        self._listener = sock
-        self.add_socket(sock)
+        self._listener = Listener(sock, self._taken, self._short)
 
-    def leave(self) -> None:
-        """Listen no more. What waits in the listener's queue is taken first: it would be reset."""
-        if self._listener is None:
-            return
+    def stop_listening(self) -> None:
+        """Listen no more; what waits in the listener's queue is taken first."""
         listener, self._listener = self._listener, None
-        with contextlib.suppress(OSError):
-            while True:
-                sock, address = listener.accept()
-                stream = IOStream(sock, max_buffer_size=self.max_buffer_size, read_chunk_size=READ_SIZE)
-                self._late.append(asyncio.ensure_future(self.handle_stream(stream, address)))
-        self.stop()
+        if listener is not None:
+            listener.close()
 
     def forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
@@ -316,6 +343,29 @@
         """Whether there are answers that clients have yet to take."""
         return any(c.owing for c in self._connections)
 
+    @property
+    def turning_away(self) -> bool:
+        """Whether what still comes is refused at once."""
+        return self._ending or self.lifecycle.turning_away
+
+    async def end(self, within_s: float) -> None:
+        """Listen no more, refuse what still comes, and close each connection once nothing is owed on it; all
+        that is left after this time is closed as it is."""
+        self._ending = True
+        self.stop_listening()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within_s
+        while True:
+            for connection in list(self._connections):
+                if connection.resting:
+                    connection.close()
+            if not (self._connections or self._closing) or loop.time() >= end:
+                return self.close_all()
+            await asyncio.sleep(0.005)
+
     def close_all(self) -> None:
+        """Give back every socket, whatever is open."""
+        self.stop_listening()
         for connection in list(self._connections):
             connection.close()
+        self._closing.close()
--- a/magpieshift/lab/proving/faulty.py
+++ b/magpieshift/lab/proving/faulty.py
@@ -28,21 +28,21 @@
 def put_in(engine: Engine, defect: str, by: float) -> None:
     """Round the one place where requests are taken. ``by``: the share of one class that fails; times the
     processor time of a request."""
-    submit: Callable[[Call, Reply], int] = engine.submit
+    submit: Callable[[Call, Reply, bool], int] = engine.submit
     draw, dummies = random.Random(1), count(1 << 40)
 
-    def worse(call: Call, reply: Reply) -> int:
+    def worse(call: Call, reply: Reply, waits: bool = False) -> int:
         if call.class_name == WORSE_CLASS and draw.random() < by:
-            return submit(replace(call, patience_us=1_000), reply)  # given up on before any store answers
-        return submit(call, reply)
+            return submit(replace(call, patience_us=1_000), reply, waits)  # given up before any answer
+        return submit(call, reply, waits)
 
-    def slower(call: Call, reply: Reply) -> int:
+    def slower(call: Call, reply: Reply, waits: bool = False) -> int:
         end = time.process_time() + by * 1e-3
         while time.process_time() < end:
             pass
-        return submit(call, reply)
+        return submit(call, reply, waits)
 
-    def mute(call: Call, reply: Reply) -> int:
+    def mute(call: Call, reply: Reply, waits: bool = False) -> int:
         return next(dummies)  # nothing is ever heard of it
 
     changed = {"worse": worse, "slower": slower, "mute": mute}.get(defect)
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -5,6 +5,7 @@
     client+            connect (a listener: accept a connection of the program's)
     client> BYTES      write           client< BYTES    read, and compare
     client-            close           client!          the program must close the connection
+    client.            it must close the connection without a reset, which would destroy its last answers
     client~            half-close      client^          reset (SO_LINGER 0)
     freeze, thaw       SIGSTOP, SIGCONT: what is done between them comes to the program all at once
     full origin        the listener's queue is full: connections of the program's come up only behind
@@ -119,10 +120,12 @@
         self.sock, self.got = sock, b""
         sock.settimeout(PATIENCE_S)
 
-    def more(self) -> bool:
+    def more(self, strict: bool = False) -> bool:
         try:
             data = self.sock.recv(65536)
         except ConnectionError:
+            if strict:
+                raise
             data = b""
         self.got += data
         return bool(data)
@@ -133,8 +136,8 @@
                 raise AssertionError(f"wanted {wanted.pattern!r}, got {self.got!r} and the end")
         self.got = self.got[match.end() :]
 
-    def expect_end(self) -> None:
-        while self.more():
+    def expect_end(self, strict: bool = False) -> None:
+        while self.more(strict):
             pass
         if self.got:
             raise AssertionError(f"wanted the end, got {self.got!r}")
@@ -183,7 +186,7 @@
 
     def act(self, step: str) -> None:
         """One step at a socket."""
-        found = re.match(r"((\w+?)\d*)([-+<>!~^])(.*)", step)
+        found = re.match(r"((\w+?)\d*)([-+<>!.~^])(.*)", step)
         assert found, "no step"
         who, kind, act, rest = found.groups()
         if act == "+":
@@ -209,7 +212,7 @@
         elif act == "<":
             self.peers[who].expect(pattern(rest))
         else:
-            self.peers[who].expect_end()
+            self.peers[who].expect_end(strict=act == ".")
 
 
 class Within(Parties):
--- a/tests/real/test_front.py
+++ b/tests/real/test_front.py
@@ -41,6 +41,10 @@
     def closed(self) -> bool:
         return self._closed
 
+    @property
+    def unread(self) -> bool:
+        return not self.input.empty()
+
     def close(self) -> None:
         self._closed = True
         self.input.put_nowait(b"")
@@ -58,7 +62,7 @@
 
     async def join(self) -> FakeStream:
         stream: Any = FakeStream()
-        asyncio.ensure_future(self.server.handle_stream(stream, ("127.0.0.1", 1)))
+        self.server.serve(stream)
         await self.settle()
         return stream  # type: ignore[no-any-return]
 
@@ -74,17 +78,54 @@
 
 
 class Clients(FrontCase):
-    async def test_who_takes_nothing_is_not_read_from_and_goes_before_memory_does(self) -> None:
+    async def test_who_takes_nothing_has_its_requests_wait_and_goes_before_memory_does(self) -> None:
         slow, other = await self.join(), await self.join()
         for stream in (1, 2):
             (await self.ask(slow, stream))(Answer(Verdict.SERVED, bytes(server.HIGH_WATER // 2)))
         self.assertGreater(self.server.held, server.HIGH_WATER)
-        reply = await self.ask(slow, 3)  # the read that was under way; the next waits
+        reply = await self.ask(slow, 3)
         await self.ask(slow, 4)
-        self.assertEqual(self.engine.submit.call_count, 3)
+        self.assertEqual([c.args[2] for c in self.engine.submit.call_args_list], [False, False, True, True])
         with self.assertLogs(server.log, "WARNING"):
             reply(Answer(Verdict.SERVED, bytes(5 * server.HIGH_WATER // 2)))
         self.assertEqual((slow.closed(), other.closed(), self.server.held), (True, False, 0))
+        self.engine.go_on.assert_not_called()
+
+    async def test_what_waits_goes_on_in_order_once_answers_are_taken_unless_cancelled(self) -> None:
+        slow = await self.join()
+        (await self.ask(slow, 1))(Answer(Verdict.SERVED, bytes(server.HIGH_WATER)))
+        for stream in (2, 3, 4):
+            await self.ask(slow, stream)
+        slow.input.put_nowait(head(Type.ABANDON, 3))
+        await self.settle()
+        self.engine.abandon.assert_called_once_with(3)
+        slow.written[-1][1].set_result(None)
+        await self.settle()
+        self.assertEqual([c.args for c in self.engine.go_on.call_args_list], [(2,), (4,)])
+
+    async def test_a_flood_of_one_client_leaves_the_others_their_turns(self) -> None:
+        """While its bytes were there at once, nobody else was read from."""
+        flood, other = await self.join(), await self.join()
+        turns, served = 0, asyncio.get_running_loop().create_future()
+
+        def at_once(size: int, partial: bool) -> "asyncio.Future[bytes]":
+            nonlocal turns
+            turns += 1
+            if turns > 10_000:
+                raise StreamClosedError
+            done: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+            done.set_result(head(Type.ABANDON, 1))
+            return done
+
+        def submit(*args: Any) -> int:
+            served.set_result(turns)
+            return 1
+
+        self.engine.submit.side_effect = submit
+        with mock.patch.object(flood, "read_bytes", at_once):
+            flood.input.put_nowait(head(Type.ABANDON, 1))
+            other.input.put_nowait(request(1))
+            self.assertLess(await asyncio.wait_for(served, 20), 10_000)
 
     async def test_what_is_taken_is_counted_off(self) -> None:
         client = await self.join()
--- a/tests/real/test_operation.py
+++ b/tests/real/test_operation.py
@@ -236,7 +236,7 @@
         self.server.listen_on(listener)
         address = listener.getsockname()
         with socket.create_connection(address) as client:  # the loop has had no turn to accept it
-            self.server.leave()
+            self.server.stop_listening()
             with self.assertRaises(ConnectionRefusedError):
                 socket.create_connection(address)
             client.setblocking(False)
