Send nothing on a store's connection that is closed, stuck or could mistake its answer

Seen: by reading, forced in tests over real connections that fail without each mend. Cause and change, back/pool.py and back/link.py: - an order was written on an idle connection whose close had come but was not read: RESET, which has to pass for run, so a once-only write failed. Connection.fit looks before it writes. - half a body and then nothing: its order given up, what was sent next on that connection waited behind it (now retired, Link.stuck_with). - a second answer that comes late passed for that of a repeat under the same id on the same connection; orders that must not run twice take another connection (Link.takes). For reads this stays open: it would cost a second connection to each cache. Ruled out: a connection up after its time (never written, closed); a reset long after the request began (window counted from the first send).

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -182,7 +182,7 @@
         )
         self._door: Door | None = None
         self._changes = ChangeLog(document.names, self)
-        self._feed = FeedClient(document.changelog, self._changes)
+        self._feed = FeedClient(document.changelog, self._changes, config.seed)
         self._stopping = asyncio.Event()
         self._limits = _Limits(document.limits, self.engine, self._front, self._pool)
         self._claim: Claim | None = None
--- a/magpieshift/back/lines.py
+++ b/magpieshift/back/lines.py
@@ -93,6 +93,11 @@
         self._body = bytearray()
         self._have = 0
 
+    @property
+    def within(self) -> str:
+        """Under which id an answer has begun and not ended; empty for none."""
+        return self._head.ident if self._head is not None else ""
+
     def feed(self, data: bytes) -> Iterator[Reply]:
         view, at = memoryview(data), 0
         while at < len(data):
--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -19,7 +19,8 @@
 Done = Callable[[Result], None]
 # A client that holds no copy cannot be told that it is current: it would be served nothing at all.
 NOTHING_KNOWN = {word: outcome for word, outcome in lines.WORDS.items() if word != "unchanged"}
-MOST_QUIT = 1024  # ids given up, each remembered until its late answer; a connection with more retires
+MOST_QUIT = 1024  # ids given up, each remembered: an answer may come late, and twice; then it takes no more
+MOST_ANSWERED = 64  # ids answered last: a second answer may come some milliseconds late
 
 
 def order_fields(order: Order, now_us: int) -> dict[str, str]:
@@ -56,14 +57,22 @@
         self._parser = lines.ReplyParser()
         self._open: dict[str, _Asked] = {}
         self._quit: set[str] = set()  # given up, and an answer to them may still be on its way
+        self._answered: dict[str, None] = {}  # in the order in which they were
         self._probes = 0
 
     def __len__(self) -> int:
         return len(self._open)
 
-    def takes(self, ident: str) -> bool:
-        """Whether an answer under this id would be taken for that of the new order, and no other."""
-        return ident not in self._open and ident not in self._quit and len(self._quit) < MOST_QUIT
+    def takes(self, ident: str, once: bool = False) -> bool:
+        """Whether an answer under this id would be taken for that of the new order, and no other. For an
+        order that must run ``once`` at most, also not if the id was answered here: a second answer that comes
+        late would pass for that of the new order, and let a third go out."""
+        used = ident in self._open or ident in self._quit or (once and ident in self._answered)
+        return not used and len(self._quit) < MOST_QUIT
+
+    def stuck_with(self, ident: str) -> bool:
+        """Whether an answer under this id has begun and not ended: all others wait behind it."""
+        return self._parser.within == ident
 
     def ask(self, order: Order, now_us: int, done: Done) -> tuple[bytes, ...]:
         """What to write for an order."""
@@ -95,12 +104,13 @@
         """The orders that these bytes end; ``LineError`` where the connection cannot go on."""
         for reply in self._parser.feed(data):
             if reply.ident in self._open:
+                self._answered[reply.ident] = None
+                if len(self._answered) > MOST_ANSWERED:
+                    del self._answered[next(iter(self._answered))]
                 if (outcome := self._open[reply.ident].words.get(reply.word)) is None:
                     raise lines.LineError(f"{reply.word} does not answer {reply.ident}")
                 yield self._release(reply.ident).done, self._result(reply, outcome)
-            elif reply.ident in self._quit:
-                self._quit.discard(reply.ident)
-            else:
+            elif reply.ident not in self._quit:
                 log.warning("answer to nothing asked", extra=fields(id=reply.ident[:40]))
 
     def lost(self) -> list[Done]:
--- a/magpieshift/back/pool.py
+++ b/magpieshift/back/pool.py
@@ -16,6 +16,7 @@
 from magpieshift.config import Document
 from magpieshift.core.model import Member, Order, Result
 from magpieshift.log import fields
+from magpieshift.streams import unread
 from molecleat.interface import Outcome, Phase
 
 log = logging.getLogger(__name__)
@@ -49,6 +50,15 @@
     def load(self) -> int:
         return len(self.link) + len(self._waiting)
 
+    def fit(self, ticket: Ticket, now_us: int) -> bool:
+        """Whether it can carry this. An idle one may have been closed by the store: what is written to it
+        then is reset, and has to pass for what may have run."""
+        if self.retired or self._stream.closed() or self.silent(now_us):
+            return False
+        if self._up and self.load == 0 and unread(self._stream.socket) == b"":
+            return False
+        return self.link.takes(ticket.ident, ticket.order is not None and ticket.order.once)
+
     def silent(self, now_us: int) -> bool:
         """Whether it owes answers and has said nothing for long. A machine that vanishes says nothing at
         all, so what is sent on here would be lost until its time-out."""
@@ -126,10 +136,11 @@
         """Take back an order: unsent it is forgotten, sent it is quit."""
         self._waiting.pop(ticket, None)
         if ticket.written:
+            stuck = self.link.stuck_with(ticket.ident)  # its answer may never end
             quit_line = self.link.give_up(ticket.ident, ticket.order is None)
             if quit_line:
                 self._send((quit_line,))
-            if self._clock.now_us() - self._heard_us > SILENT_US:
+            if stuck or self._clock.now_us() - self._heard_us > SILENT_US:
                 self.retired = True
         self.rest()
 
@@ -174,15 +185,16 @@
         now, best, least = self.back.clock.now_us(), None, self.back.streams
         for connection in self.connections:
             load = connection.load
-            if load < least and not (connection.retired or connection.silent(now)):
-                if not connection.link.takes(ticket.ident):
-                    continue
+            if load < least and connection.fit(ticket, now):
                 best, least = connection, load
                 if load == 0:
                     break
         if (best is None or least >= self.back.streams_wanted) and self.back.may_open(self):
-            best = Connection(self)
-            self.connections.append(best)
+            try:
+                best = Connection(self)
+                self.connections.append(best)
+            except OSError as err:  # no descriptor: what there is carries it, or it never ran
+                log.warning("no connection", extra=fields(store=self.ident, reason=err))
         if best is None:
             return False
         best.carry(ticket)
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import replace
+from functools import partial
 from typing import Protocol
 
 from magpieshift.clock import Clock, Handle
@@ -461,15 +462,17 @@
         timeout_us = min(timeout_us or left, left)
         if request.reply is None or timeout_us <= 0 or attempt.number >= self._settings.max_attempts:
             return self._settle(attempt, Result(Outcome.MOOT))
-        if (barred := self._barred(attempt)) is not None:
-            log.error("unlawful attempt", extra=fields(id=request.call.ident, outcome=barred.name.lower()))
-            return self._settle(attempt, Result(barred))
+        if (unsent := self._barred(attempt)) is not None:
+            log.error("unlawful attempt", extra=fields(id=request.call.ident, outcome=unsent.name.lower()))
+            return self._settle(attempt, Result(unsent))
         target, supplier = self._members[store], self._members[source]
         if target.entry.kind == self._settings.parent_kind:
             keep = 0  # parents know no ranks
         by, deadline = (supplier if source != store else None), now + timeout_us
         attempt.timer = self._clock.after(timeout_us, lambda: self._give_up(attempt, Outcome.TIMEOUT))
-        order = Order(request.call, target, by, keep, age_us, mode, deadline, lambda: self._barred(attempt))
+        once = request.cls.effect != Effect.FREE
+        barred = partial(self._barred, attempt)
+        order = Order(request.call, target, by, keep, age_us, mode, deadline, once, barred)
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
     def _copy_is_allowed(self, request: _Open, store: int) -> bool:
--- a/magpieshift/core/model.py
+++ b/magpieshift/core/model.py
@@ -77,6 +77,7 @@
     age_us: int
     mode: int
     deadline_us: int
+    once: bool  # running it twice does harm
     barred: Callable[[], api.Outcome | None]
     """Asked right before it is written: how it ends unwritten, or None where it may go."""
 
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -31,6 +31,7 @@
     def __init__(self, feed: FeedClient, stream: IOStream) -> None:
         self._feed, self._stream, self._parser = feed, stream, SseParser()
         self.good = False
+        self._begun: float | None = None  # since when an event is not whole
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -44,9 +45,14 @@
 
     def data_received(self, chunk: bytes) -> None:
         self._feed.alive()
+        now = asyncio.get_running_loop().time()
         try:
             for event in self._parser.feed(chunk):
+                self._begun = None
                 self._feed.changes.event(event.data, event.ident)
+            self._begun = (self._begun or now) if self._parser.pending else None
+            if self._begun is not None and now - self._begun > SILENCE_S:  # comments prove it alive meanwhile
+                raise SseError("an event does not end")
         except (Gap, SseError) as err:
             log.warning("change log broken off", extra=fields(reason=err))
             self._stream.close()
@@ -57,8 +63,10 @@
 
     part = "feed"
 
-    def __init__(self, address: tuple[str, int], changes: ChangeLog) -> None:
+    def __init__(self, address: tuple[str, int], changes: ChangeLog, seed: int = 0) -> None:
         self._address, self.changes = address, changes
+        self.pause_s = PAUSE_S  # before it is asked again
+        self._draw = random.Random(seed)  # or all routers would come back at once
         self._task: asyncio.Task[None] | None = None
         self._heard = 0.0
         self.answered = False  # by the log, so far
@@ -112,20 +120,22 @@
         return True
 
     async def _run(self) -> None:
-        pause = PAUSE_S
         while True:
-            good = False
+            begun, last = asyncio.get_running_loop().time(), self.changes.last
             try:
-                good = await self._read()
+                await self._read()
             except (OSError, StreamClosedError, TimeoutError) as err:
                 log.debug("change log lost", extra=fields(reason=repr(err)))
             except Exception:
                 log.exception("change log failed")
-            pause = PAUSE_S if good else min(2 * pause, MOST_PAUSE_S)
-            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-
-    async def _read(self) -> bool:
-        """Read one response to its end; whether it was one."""
+            # one that answers and closes at once is not well: it was asked 30 times a second
+            lasted = asyncio.get_running_loop().time() - begun >= MOST_PAUSE_S
+            good = self.changes.last > last or (self._heard > begun and lasted)
+            self.pause_s = PAUSE_S if good else min(2 * self.pause_s, MOST_PAUSE_S)
+            await asyncio.sleep(self.pause_s * self._draw.uniform(0.5, 1.0))
+
+    async def _read(self) -> None:
+        """Read one response to its end."""
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         watch: asyncio.Task[None] | None = None
         try:
@@ -146,7 +156,6 @@
             )
             await http.write_headers(RequestStartLine("GET", "/changes", "HTTP/1.1"), headers)
             await http.read_response(reader)
-            return reader.good
         finally:
             if watch is not None:
                 watch.cancel()
--- a/magpieshift/feed/sse.py
+++ b/magpieshift/feed/sse.py
@@ -29,6 +29,11 @@
         self._ident = ""
         self._after_cr = False
 
+    @property
+    def pending(self) -> bool:
+        """Whether an event, or a line, has begun and not ended."""
+        return bool(self._data or self._buffer)
+
     def feed(self, data: bytes) -> Iterator[ServerEvent]:
         if self._after_cr and data[:1] == b"\n":
             data = data[1:]  # the other half of a CR LF
--- a/magpieshift/streams.py
+++ b/magpieshift/streams.py
@@ -54,6 +54,17 @@
         log.warning("new connections not steered", extra=fields(reason=err))
 
 
+def unread(sock: socket.socket) -> bytes | None:
+    """The first byte that has come at a socket and was not read yet; empty where the peer has closed or the
+    connection broke, None where nothing has come."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 class LingeringClose:
     """The one way in which connections of clients and operators are closed. Closing over bytes that came and
     nobody read resets the connection, and destroys answers that the peer has yet to read. So the socket is
@@ -121,15 +132,7 @@
     @property
     def unread(self) -> bool:
         """Whether something has come that was not read yet: bytes, or the peer's own close."""
-        if self.closed():
-            return False
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        return not self.closed() and unread(self.socket) is not None
 
     def close_fd(self) -> None:
         sock, self.socket = self.socket, None  # type: ignore[assignment]
--- a/tests/real/test_endings.py
+++ b/tests/real/test_endings.py
@@ -1,6 +1,7 @@
 """Endings in which something is still owed, over real connections; each bad order is forced."""
 
 import asyncio
+import json
 import os
 import resource
 import signal
@@ -11,17 +12,24 @@
 from typing import Any
 from unittest import mock
 
+from magpieshift.feed import client
 from magpieshift.front import server
 from magpieshift.front.frames import Type, head
-from tests.real.exchange import PATIENCE_S, ROOT, Program, Within
+from tests.real.exchange import PATIENCE_S, ROOT, Program, Within, config, free_port
 from tests.real.test_front import request
 
+FIELDS = "tag=4b,minted=1764576000000,how=warm,stats=inflight:7;util:0.61;x1:0.2"
 ASK = {stream: request(stream, i=f"{stream:016x}", d="30000").hex() for stream in range(1, 40)}
+ORIGIN_ASKED = {n: rf'"ASK {n:016x} class=basket," /[^\r]*\r\n\r\n/' for n in (1, 2)}
+ORIGIN_DATA = {n: rf'"{n:016x} data {FIELDS} 4\r\ncopy\r\n"' for n in (1, 2)}
+WRITE = {n: request(n, i=f"{n:016x}", d="30000", c="basket", k="5c0f").hex() for n in (1, 2)}
+STREAM = r'"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"'
+PURGE = r'''"id: 3\ndata: {\"seq\":3,\"invalidate\":{\"bucket\":17,\"time\":1764576000480}}"'''
 REFUSED = r"/(\x05\x00\x00\x00\x06\x00\x00\x00\x00)?.\x00\x00\x00\x02\x01\x00\x00\x00\x42.*/"
 READY_ASKED, READY = "06000000 04 09000000 00", "07000000 05 09000000 4f 00"
 CACHE_ASKED = r'"ASK 0000000000000001 class=picture," /[^\r]*\r\n\r\n/'
-FIELDS = "tag=4b,minted=1764576000000,how=warm,stats=inflight:7;util:0.61;x1:0.2"
 CACHE_DATA = rf'"0000000000000001 data {FIELDS} 4\r\ncopy\r\n"'
+SERVED_2 = '0b000000 02 02000000 4f 00 "copy"'
 SERVED = '0b000000 02 01000000 4f 00 "copy"'
 NO_MORE = "05000000 06 00000000"
 
@@ -139,7 +147,82 @@
             await router.play('cache< "ASK 0000000000000002 class=picture," /[^\\r]*\\r\\n\\r\\n/')
 
 
+class Stores(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_closed_in_the_instant_before_the_write_is_not_written_to(self) -> None:
+        """What runs once only failed: behind a reset it has to pass for run."""
+        async with Within(**{"Classes.1.Effect": '"single_shot"'}) as router:
+            await router.play(f"client+\nclient> {WRITE[1]}\norigin+\norigin< {ORIGIN_ASKED[1]}")
+            await router.play(f"origin> {ORIGIN_DATA[1]}\nclient< {SERVED}")
+            module = router.router.engine._router
+            decide = module.handle
+
+            def close_first(now_us: int, events: Any) -> Any:
+                if "origin" in router.peers:
+                    router.act("origin-")
+                return decide(now_us, events)
+
+            with mock.patch.object(module, "handle", close_first):
+                await router.play(f"client> {WRITE[2]}\norigin2+\norigin2< {ORIGIN_ASKED[2]}")
+            await router.play(f"origin2> {ORIGIN_DATA[2]}\nclient< {SERVED_2}")
+
+    async def test_a_second_answer_that_comes_late_is_not_that_of_the_repeat(self) -> None:
+        async with Within() as router:
+            await router.play(f"client+\nclient> {WRITE[1]}\norigin+\norigin< {ORIGIN_ASKED[1]}")
+            failed = r'"0000000000000001 failed - 0\r\n\r\n"'
+            await router.play(f"origin> {failed}\norigin2+\norigin2< {ORIGIN_ASKED[1]}\norigin> {failed}")
+            await router.play(f"origin2> {ORIGIN_DATA[1]}\nclient< {SERVED}")
+
+    async def test_nothing_is_sent_behind_an_answer_that_does_not_end(self) -> None:
+        async with Within() as router:
+            await router.play(f"client+\nclient> {ASK[1]}\ncache+\ncache< {CACHE_ASKED}")
+            await router.play(f'cache> "0000000000000001 data {FIELDS} 9\\r\\nco"')
+            (pool,) = (p for p in router.router._pool._stores.values() if p.connections)
+            await router.until(lambda: pool.connections[0].link.stuck_with("0000000000000001"))
+            await router.play(f'client> {head(Type.ABANDON, 1).hex()}\ncache< "QUIT 0000000000000001\\r\\n"')
+            await router.play(f"client> {ASK[2]}\ncache2+")
+            await router.play('cache2< "ASK 0000000000000002 class=picture," /[^\\r]*\\r\\n\\r\\n/')
+
+
+class ChangeLogs(unittest.IsolatedAsyncioTestCase):
+    async def test_one_that_answers_and_closes_at_once_is_asked_ever_more_rarely(self) -> None:
+        async with Within() as router:
+            feed = router.router._feed
+            for _ in range(10):
+                await router.play(f"log+\nlog< /.*\\r\\n\\r\\n/\nlog> {STREAM}\nlog-")
+            await router.until(lambda: feed.pause_s == client.MOST_PAUSE_S)
+            await router.play(f'log+\nlog< /.*\\r\\n\\r\\n/\nlog> {STREAM}\nlog> {PURGE} "\\n\\n"')
+            await router.until(lambda: feed.changes.last == 3)
+            await router.play("log-")
+            await router.until(lambda: feed.pause_s == client.PAUSE_S)
+
+    async def test_an_event_that_does_not_end_is_no_life_though_comments_come(self) -> None:
+        async with Within() as router:
+            with mock.patch.object(client, "SILENCE_S", 0.3):
+                await router.play(f"log+\nlog< /.*\\r\\n\\r\\n/\nlog> {STREAM}\nlog> {PURGE}")
+                log = router.peers["log"].sock
+                log.setblocking(False)
+                log.send(b"\n")
+                with self.assertRaises(ConnectionError):
+                    for _ in range(400):
+                        log.send(b":\n")
+                        await asyncio.sleep(0.01)
+            await router.play("log2+\nlog2< /.*Last-Event-Id: 2.*\\r\\n\\r\\n/")
+
+
 class Descriptors(unittest.TestCase):
+    def test_without_descriptors_for_a_store_a_request_is_refused_at_once(self) -> None:
+        """Its attempt stayed out, without a connection, until its time-out."""
+        with Program() as program:
+            program.act("client+")
+            program.act(f"client> {READY_ASKED}")
+            program.act(f"client< {READY}")
+            fds = Path(f"/proc/{program.process.pid}/fd")
+            lowest = next(n for n in range(1000) if not (fds / str(n)).exists())
+            _, hard = resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE)
+            resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (lowest, hard))
+            program.act(f"client> {ASK[1]}")
+            program.act(f"client< {REFUSED}")
+
     def test_without_descriptors_who_rests_makes_room(self) -> None:
         """The listener stayed readable, and the program did nothing else but fail to accept."""
         with Program() as program:
@@ -160,16 +243,52 @@
 
 
 class Signals(unittest.TestCase):
+    def start(self, program: Program, *words: str, **changes: str) -> subprocess.Popen[bytes]:
+        """Another process beside the program, with one log for both."""
+        env = program.env() | {"EDGE_LISTEN": f"127.0.0.1:{free_port()}"} | changes
+        started = subprocess.Popen([sys.executable, *words], env=env, cwd=ROOT, stderr=program.log)
+        self.addCleanup(started.wait)
+        self.addCleanup(started.kill)
+        return started
+
+    def pipe(self, program: Program) -> Path:
+        """A configuration that a process waits to read until the test opens it."""
+        path = Path(program.folder.name) / "pipe"
+        os.mkfifo(path)
+        return path
+
     def test_sigterm_before_there_is_a_configuration_ends_with_0(self) -> None:
         with Program() as program:
-            path = Path(program.folder.name) / "pipe"
-            os.mkfifo(path)
-            env = program.env() | {"EDGE_CONFIG": str(path)}
-            starting = subprocess.Popen([sys.executable, "-m", "magpieshift"], env=env, cwd=ROOT)
+            path = self.pipe(program)
+            starting = self.start(program, "-m", "magpieshift", EDGE_CONFIG=str(path))
             with path.open("w"):  # it has come to read it, and waits
-                starting.send_signal(signal.SIGTERM)
+                starting.terminate()
                 self.assertEqual(starting.wait(PATIENCE_S), 0)
 
+    def test_a_second_sigterm_after_the_loop_has_ended_does_not_kill_what_exits_with_0(self) -> None:
+        again = "import os, sys; from magpieshift import app; code = app.main(); os.kill(os.getpid(), 15)"
+        with Program() as program:
+            ending = self.start(program, "-c", f"{again}; sys.exit(code)")
+            program.says("(?s)" + ".*event=ready" * 2)
+            for _ in range(2):
+                ending.terminate()
+            self.assertEqual(ending.wait(PATIENCE_S), 0)
+
+    def test_a_sighup_before_the_router_runs_is_heeded(self) -> None:
+        """What it read may be the old file; and unhandled the signal killed it."""
+        with Program() as program:
+            path = self.pipe(program)
+            starting = self.start(program, "-m", "magpieshift", EDGE_CONFIG=str(path))
+            with path.open("w") as pipe:
+                moved = Path(program.folder.name) / "moved"
+                moved.write_text(json.dumps(config(program.ports | {"log": program.ports["moved"]})))
+                moved.replace(path)
+                starting.send_signal(signal.SIGHUP)
+                pipe.write(program.config.read_text())
+            program.says(f'event="configuration reloaded" changelog={program.ports["moved"]}')
+            starting.terminate()
+            self.assertEqual(starting.wait(PATIENCE_S), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_simulated.py
+++ b/tests/test_simulated.py
@@ -50,7 +50,7 @@
         call = Call(key, 0, "picture", key, 0, 1, 100.0, SECOND, False, "", "", b"")
         target = self.stores.by_name["box"].listed
         by = self.stores.by_name[source].listed if source else None
-        order = Order(call, target, by, 1, 0, 0, 0, lambda: None)
+        order = Order(call, target, by, 1, 0, 0, 0, False, lambda: None)
         began = self.time.now_us
         return self.stores.ask(order, lambda r: self.results.append(((self.time.now_us - began) / 1e6, r)))
 
