Let turns at a cold store lapse, so that routers do not save them up for one burst

Cause: Store.next_cold_us bounds each router's rate, and a turn not taken stayed (control._send, _edge, _fill): one saved call a router, whatever its share of the budget. Ruled out: the first moment (starts are drawn); restarts alone (a new process draws anew); routers kept busy (no window beyond in 576 draws of four ways of asking). Change: Router._turn: a turn lapses after the time that the rule looks at, and the next keeps its phase, so at most a budget's mean is saved up and as much comes in that time: N in all, with half of it as the mean.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -111,10 +111,9 @@
         self.purges = {key: made for key, made in self.purges.items() if made >= past}
 
     def _age(self, job: Job) -> int:
-        """Oldest copy that will do: the class's bound, and younger than any purge still in force. Never 0
-        for a purge: that would mean the default. Twice the stated time covers fills under way."""
+        """Oldest copy that will do, by class and purge; never 0 for a purge: that would mean the default."""
         made = max(self.purges.get((1, job.req.key), -1), self.purges.get((0, job.req.group), -1))
-        if made < 0 or self.now - made > 2 * self.cfg.purge_done_us:
+        if made < 0 or self.now - made > 2 * self.cfg.purge_done_us:  # twice covers fills under way
             return job.cls.fresh_us
         bound = max(1, self.now - made - 1)
         return min(bound, job.cls.fresh_us) if job.cls.fresh_us else bound
@@ -138,6 +137,13 @@
         mean = ((math.sqrt(COLD_SIGMAS**2 + 4 * bears) - COLD_SIGMAS) / 2) ** 2  # and chance fills the rest
         return whole / sharers * min(COLD_CARE, mean / bears)
 
+    def _turn(self, store: Store) -> bool:
+        """Whether it may be sent something now: turns at a cold store are not saved up for a common burst."""
+        gap = max(self.work_us) / self._cold_rate(store)  # 0 once it is warm
+        if gap and (past := self.now - store.next_cold_us - self.cfg.fall_us) > 0:
+            store.next_cold_us += int(math.ceil(past / gap) * gap)
+        return self.now >= store.next_cold_us
+
     def _usable(self, store: Store) -> bool:
         """A store that failed is asked one at a time until what is tried there comes back well."""
         tried = store.bad > SHUN_AT and store.flying > 0
@@ -171,9 +177,8 @@
             return self._end(job)
         if cache is None or job.cls.write or job.missed is cache or self._cold_rate(cache) < math.inf:
             return self._fill(job, cache)
-        if job.missed is None and not self._prompt(job, cache):
-            return self._end(job)
-        return self._send(job, cache, None)
+        slow = job.missed is None and not self._prompt(job, cache)
+        return self._end(job) if slow else self._send(job, cache, None)
 
     def _prompt(self, job: Job, store: Store) -> bool:
         """Whether the answer can come within the aim, as slow as its hits were; those of old fade."""
@@ -197,8 +202,7 @@
         return again.zone == first.zone if job.cls.scope == Scope.ZONE else again.cell == first.cell
 
     def _edge(self, job: Job) -> Store | None:
-        """The object's cache: weighted rendezvous over the zone's ready ones that are well and have room;
-        one with far more in flight than its part passes the excess on, as a full queue would."""
+        """The object's cache: weighted rendezvous over ready ones that are well and not over their part."""
         ready = [s for s in self.caches.values() if s.entry.phase == Phase.READY]
         usual = sorted(s.slower for s in ready)[(len(ready) - 1) // 2] if ready else 0.0
         quick = [s for s in ready if s.slower <= SLUGGISH + 2 * usual]
@@ -213,7 +217,7 @@
             else:  # one at a time, to learn when it is well again
                 calm = 1 if store.flying == 0 and self._prompt(job, store) else -1
             rank = (self._usable(store), calm + 2 * (job.missed is store), weight / -math.log(unit))
-            if rank > best[0] and self.now >= store.next_cold_us and self._in_group(job, store):
+            if rank > best[0] and self._turn(store) and self._in_group(job, store):
                 best = (rank, store)
         return best[1]
 
@@ -241,7 +245,7 @@
             takes = (self.work_us if lane == LOOK else self.fill_us)[job.req.cls]
             last = source.entry.kind == self.cfg.origin_kind and source.entry.phase == Phase.READY
             fit = self._in_group(job, source) and source.entry.store not in job.failed
-            now = self.now >= source.next_cold_us and self.now + takes <= job.end_us
+            now = self._turn(source) and self.now + takes <= job.end_us
             if not (fit and now and (last or self._usable(source))):
                 continue
             cap, busy = self._cap(source, lane), source.busy[lane]
@@ -281,10 +285,9 @@
             mode |= Mode.SOURCE_HELD_ONLY if source is not None and job.lane == LOOK else 0
             self.actions.append(api.Get(req.id, store.entry.store, timeout, by.entry.store, keep, age, mode))
         both = (store,) if source is None or source is store else (store, source)
-        for at in both:
-            at.flying += 1
-            if (rate := self._cold_rate(at)) < math.inf:
-                at.next_cold_us = max(at.next_cold_us, self.now) + int(self.work_us[req.cls] / rate)
+        for s in both:
+            s.flying += 1
+            s.next_cold_us = max(s.next_cold_us, self.now) + int(self.work_us[req.cls] / self._cold_rate(s))
         sent = Attempt(job, store, source, both, self.now, pace, aim, store.flying, job.lane)
         self.attempts[req.id, job.legs], job.out = sent, job.legs
         job.legs += 1
@@ -296,15 +299,14 @@
         """Let waiting fills go while there are slots, the newest first, each judged anew; all if down."""
         down = not self._usable(source)
         for job in list(reversed(source.queue.values())):
-            full = source.busy[job.lane] >= self._cap(source, job.lane) or self.now < source.next_cold_us
+            full = source.busy[job.lane] >= self._cap(source, job.lane) or not self._turn(source)
             if (down or not full) and source.queue.pop(job.req.id, None) is not None:
                 job.held, waiting, source.queue = None, source.queue, {}
                 self._advance(job)
                 source.queue = waiting | source.queue
 
     def _ended(self, event: api.Ended) -> None:
-        attempt = self.attempts.pop((event.id, event.attempt), None)
-        if attempt is None:
+        if (attempt := self.attempts.pop((event.id, event.attempt), None)) is None:
             return
         job = attempt.job
         job.out = -1
@@ -423,8 +425,7 @@
         harmless = by_all or job.cls.effect == Effect.FREE or (job.ran is None and job.out < 0)
         spare = job.due_us - self.fill_us[job.req.cls] - self.now  # in which coming back is still of use:
         after = spare * self.random.random() / 2 if spare > 0 else self.cfg.max_retry_after_us  # and again
-        no = api.Refuse(job.req.id, int(after))
-        self.actions.append(no if harmless else api.Fail(job.req.id))
+        self.actions.append(api.Refuse(job.req.id, int(after)) if harmless else api.Fail(job.req.id))
         if job.out >= 0 and self.cfg.may_cancel:
             self.actions.append(api.Cancel(job.req.id, job.out))
         self._forget(job)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,5 +1,7 @@
 """What holds when the fleet is large: work per request, memory, and what many routers add up to."""
 
+import itertools
+
 from molecleat import interface as api
 from molecleat.control import Router
 from molecleat.interface import Outcome, Phase
@@ -88,6 +90,52 @@
     assert sent, "a cold store must still get something"
 
 
+def burst(count: int, config: api.Settings, kind: int, weight: float, seed: int) -> list[int]:
+    """When routers, of which some start anew meanwhile, send to a cold store that lay idle for 8 s and is then
+    wanted by all at once, over and over."""
+    start, sent, ident = 100 * SECOND, list[int](), 0
+    new = entry(99, kind, up_since_us=start, weight=weight)
+    listed = (entry(CACHES[0], CACHE), entry(31, ORIGIN), new)
+    fleet = [Router(config, seed * 1000 + i) for i in range(count)]
+    for router in fleet:
+        router.handle(start, [api.StoreList(api.ListKind.CACHED, 1, listed)])
+    for now in range(start + 8 * SECOND, start + 11 * SECOND, 50_000):
+        if (now - start) // 50_000 % 20 == 7:  # three times a tenth of them
+            for i in range(0, count, 10):
+                fleet[i] = Router(config, seed * 1000 + now // 50_000 + i)
+                fleet[i].handle(now, [api.StoreList(api.ListKind.CACHED, 1, listed)])
+        for router in fleet:
+            for _ in range(4):
+                ident += 1
+                request = api.Request(ident, 0, 0, ident * 7919, 4 * SECOND, 0.0, 3, 0, False, False)
+                for act in router.handle(now, [request]):
+                    if isinstance(act, api.Send | api.Get):
+                        sent += [now] if 99 in (act.store, getattr(act, "source", 0)) else []
+                        ended = api.Ended(ident, Outcome.OK, 150_000, 0, True, 1, act.store, 0, ())
+                        router.handle(now, [ended])
+    return sent
+
+
+def test_turns_at_a_cold_store_are_not_saved_up_for_a_burst() -> None:
+    """Of a budget of 12 calls 30 were used in one instant: each router had saved one up."""
+    sent = 0
+    for routers, kind, weight, fall_us, seed in itertools.product(
+        (4, 20, 30), (CACHE, PARENT), (1.0, 4.0, 10.0), (200_000, SECOND), range(2)
+    ):
+        config = settings(
+            routers=routers, zone_routers=(0, routers), cold_from=0.2, cold_us=20 * SECOND, fall_multiple=2.5,
+            fall_us=fall_us, parent_cold_from=0.2, parent_fall_multiple=2.5,
+        )  # fmt: skip
+        times = burst(routers, config, kind, weight, seed)
+        sent += len(times)
+        for begun in times:
+            calls = sum(begun <= at < begun + fall_us for at in times)
+            bears = weight * 2.5 * (0.2 + 0.8 * (begun - 100 * SECOND) / (20 * SECOND))
+            budget = bears * fall_us / max(Router(config, 0).work_us)
+            assert calls <= budget + 2 * budget**0.5 + 2, (routers, kind, weight, fall_us, seed)
+    assert sent > 1000, "a cold store must still get something"
+
+
 def test_a_cold_parent_is_shared_by_all_routers() -> None:
     config = settings(routers=120, zone_routers=(0, 4))
     assert len(sends_to_cold(4, config, PARENT, 99)) <= 4
