--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -91,8 +91,8 @@
 
 
 def burst(count: int, config: api.Settings, kind: int, weight: float, seed: int) -> list[int]:
-    """When routers, of which some start anew meanwhile, send to a cold store that lay idle for 8 s and is then
-    wanted by all at once, over and over."""
+    """When routers, of which some start anew meanwhile, send to a cold store that lay idle for 8 s and is
+    then wanted by all at once, over and over."""
     start, sent, ident = 100 * SECOND, list[int](), 0
     new = entry(99, kind, up_since_us=start, weight=weight)
     listed = (entry(CACHES[0], CACHE), entry(31, ORIGIN), new)
