--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -28,7 +28,7 @@
 WHOLE_S = 2.0  # for a client to send a whole frame, from its connecting or from the frame's first byte
 IDLE_S = 60.0  # with nothing open; clients close after 4 s
 STALL_S = 10.0  # without taking a byte of its answers
-HUSH_S = 0.3  # after a client was told to send no more, and has nothing open: it is not coming back
+NOTICE_IDLE_S = 0.3  # after a client was told to send no more, and has nothing open: it is not coming back
 
 
 class Connection:
@@ -58,7 +58,7 @@
         return not (self.busy or read or self._stream.unread)
 
     @property
-    def spare(self) -> tuple[bool, int]:
+    def eviction_rank(self) -> tuple[bool, int]:
         """The least goes first where room is needed: who has never asked, then who was silent longest."""
         return self._session.frames > 0, self.heard_us
 
@@ -165,17 +165,17 @@
         """Whether it has owed a whole frame since then: some say nothing, or never come to an end."""
         return self._owes_since_us is not None and self._owes_since_us < past_us
 
-    def left(self, hushed_us: int) -> bool:
+    def done_after_notice(self, quiet_since_us: int) -> bool:
         """Whether a client that was told to send no more holds its connection for nothing. Who only asks
         whether we are ready may go on asking."""
         if self.busy or not self._session.told_no_more:
             return False
         turning_away, cutting = self._server.lifecycle.turning_away, self._server.lifecycle.cutting
         asks_only = self._session.requests == 0
-        hushed = self.heard_us < hushed_us
+        quiet = self.heard_us < quiet_since_us
         if self._session.pending:
             return cutting
-        return hushed or (turning_away and not asks_only)
+        return quiet or (turning_away and not asks_only)
 
     def stalled(self, past_us: int) -> bool:
         """Whether it has taken nothing of its answers since then."""
@@ -280,7 +280,7 @@
         serving.add_done_callback(self._serving.discard)
 
     def _close_idle_one(self) -> bool:
-        for connection in sorted((c for c in self._connections if not c.busy), key=lambda c: c.spare):
+        for connection in sorted((c for c in self._connections if not c.busy), key=lambda c: c.eviction_rank):
             if connection.resting:
                 connection.close()
                 return True
@@ -296,13 +296,13 @@
         """Close connections on which nothing is open and nothing has come for long, and those whose clients
         have long taken nothing of their answers or owe the rest of a frame. Called now and then."""
         now = self.clock.now_us()
-        idle, stall, whole, hush = (now - int(1e6 * s) for s in (IDLE_S, STALL_S, WHOLE_S, HUSH_S))
+        idle, stall, whole, quiet = (now - int(1e6 * s) for s in (IDLE_S, STALL_S, WHOLE_S, NOTICE_IDLE_S))
         lame = self.lifecycle.state == State.LAME_DUCK
         if self.lifecycle.last_call:
             self.announce_end()
         for connection in list(self._connections):
             late = connection.late(whole)
-            unused = late or connection.heard_us < idle or (lame and connection.left(hush))
+            unused = late or connection.heard_us < idle or (lame and connection.done_after_notice(quiet))
             if connection.stalled(stall) or (unused and connection.resting):
                 connection.close()
             elif late:  # what it asked before is answered yet
