--- a/magpieshift/streams.py
+++ b/magpieshift/streams.py
@@ -148,6 +148,7 @@
         """``taken`` is handed each connection; ``short`` is called where descriptors or memory run out."""
         self._sock, self._taken, self._short = sock, taken, short
         self._pause: asyncio.TimerHandle | None = None
+        self._starved = False
         self._resume()
 
     def _resume(self) -> None:
@@ -164,12 +165,15 @@
             except ConnectionAbortedError:
                 continue
             except OSError as err:  # no descriptor, say: the queue stays readable, and the loop would spin
-                log.warning("connection not accepted", extra=fields(reason=err))
+                if not self._starved:  # once until one is taken again
+                    log.warning("connection not accepted", extra=fields(reason=err))
+                self._starved = True
                 self._short()
                 asyncio.get_running_loop().remove_reader(self._sock.fileno())
                 if self._pause is None:
                     self._pause = asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
                 return
+            self._starved = False
             sock.setblocking(False)
             self._taken(sock)
 
