Look at a client's socket once more right before an attempt for it is written

Seen: by reading. Cause: Engine.flush and Pool write in one turn, the client's bytes are read in the next (core/engine._attempt, front/server.serve). Ruled out: reading ahead of every batch (a call for each connection and turn). Change: Order.barred looks first (Engine._barred_by_now, Connection._look): one non-blocking read of that client's socket for each attempt; what it holds is taken in. Test: test_nothing_is_written_for_who_goes_in_the_instant_before: cancel, half-close, reset and close between the decision and the write; fails without the look.

--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -79,17 +79,18 @@
     """A request. It stays in the table until its deadline, so that attempts are numbered to the end."""
 
     __slots__ = (
-        "call", "cls", "deadline_us", "legs", "op", "out", "owns_ident", "ran", "reply", "taken_us",
+        "call", "cls", "deadline_us", "legs", "look", "op", "out", "owns_ident", "ran", "reply", "taken_us",
     )  # fmt: skip
 
     def __init__(
-        self, op: int, call: Call, cls: api.RequestClass, reply: Reply, taken_us: int, patience_us: int
-    ) -> None:
+        self, op: int, call: Call, cls: api.RequestClass, reply: Reply, taken_us: int, patience_us: int,
+        look: Callable[[], None],
+    ) -> None:  # fmt: skip
         self.op, self.call, self.taken_us, self.deadline_us = op, call, taken_us, taken_us + patience_us
         self.cls = cls  # the figures it was taken under, whatever comes into force while it is open
         self.reply: Reply | None = reply  # None once the final answer is given, or nobody waits for it
         self.out: list[_Attempt] = []  # two at most, and that only where a copy is allowed
-        self.legs = 0
+        self.legs, self.look = 0, look
         self.owns_ident = False
         self.ran: tuple[int, Member] | None = None  # when the first that may have run began, and where
 
@@ -147,15 +148,18 @@
 
     # --- what a front says
 
-    def submit(self, call: Call, reply: Reply, waits: bool = False) -> int:
+    def submit(
+        self, call: Call, reply: Reply, waits: bool = False, look: Callable[[], None] = lambda: None
+    ) -> int:
         """Take a request; ``reply`` is called once with its final answer, unless it is abandoned, and never
-        before this returns. One that ``waits`` is not decided on until ``go_on``; its deadline runs."""
+        before this returns. One that ``waits`` is not decided on until ``go_on``; its deadline runs. ``look``
+        is called right before an attempt is written, to take in what its client has said by then."""
         taken = call.ident in self._idents
         self._last_op += 1
         # nobody waits longer than the class allows; an entry kept for an hour, with its timer, is a leak
         cls = self._settings.classes[call.cls]
         patience_us = min(call.patience_us, cls.deadline_us)
-        request = _Open(self._last_op, call, cls, reply, self._clock.now_us(), patience_us)
+        request = _Open(self._last_op, call, cls, reply, self._clock.now_us(), patience_us, look)
         self._requests[request.op] = request
         self.open_requests += 1
         self.held += len(call.body)
@@ -471,7 +475,7 @@
         by, deadline = (supplier if source != store else None), now + timeout_us
         attempt.timer = self._clock.after(timeout_us, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         once = request.cls.effect != Effect.FREE
-        barred = partial(self._barred, attempt)
+        barred = partial(self._barred_by_now, attempt)
         order = Order(request.call, target, by, keep, age_us, mode, deadline, once, barred)
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
@@ -485,10 +489,15 @@
         for attempt in list(request.out):
             self._give_up(attempt, Outcome.CANCELLED)
 
+    def _barred_by_now(self, attempt: _Attempt) -> Outcome | None:
+        """The same when it is about to be written. It may have waited for its connection, and its store or
+        source drain by then, where the rule counts from when we were told; its client may have gone, and the
+        loop be too busy to have read so; or the window for a repeat have passed."""
+        attempt.request.look()
+        return self._barred(attempt)
+
     def _barred(self, attempt: _Attempt) -> Outcome | None:
-        """How an attempt that is not sent yet must end, if it may not be sent. Asked again when one that had
-        to wait for its connection is about to be written: its store or source may drain by then, and the rule
-        counts from when we were told; its client may have gone, or the window for a repeat have passed."""
+        """How an attempt that is not sent yet must end, if it may not be sent."""
         request = attempt.request
         for number in (attempt.store, attempt.source):
             member = self._members.get(number)
--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -106,6 +106,22 @@
             self._owes_since_us = self.heard_us
         self._account()
 
+    def _look(self) -> None:
+        """Take in what the client has sent by now, ahead of the loop's turn: it may be a cancel or its close,
+        and nothing begins for a client that has gone."""
+        if self._ended or self._read is None or self._read.done() or self._stream.closed():
+            return
+        try:
+            data = self._stream.socket.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._end()
+        elif not self._leaving:
+            self._take(data)
+
     def leave(self, reason: str) -> None:
         """Tell the client of an error, answer what was taken before it, and close. From here on what comes is
         read and thrown away."""
@@ -123,7 +139,7 @@
                 self._write(self._session.answer(stream, engine.turned_away()))
             case Asked(call=call):
                 waits = self._unsent > HIGH_WATER
-                op = engine.submit(call, lambda answer: self._answer(stream, answer), waits)
+                op = engine.submit(call, lambda answer: self._answer(stream, answer), waits, self._look)
                 self._ops[stream] = op
                 if waits:
                     self._held[stream] = None
--- a/magpieshift/lab/proving/faulty.py
+++ b/magpieshift/lab/proving/faulty.py
@@ -15,8 +15,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 from itertools import count
+from typing import Any
 
-from magpieshift.core.engine import Engine, Reply
+from magpieshift.core.engine import Engine
 from magpieshift.core.model import Call
 from magpieshift.installation import runner
 from magpieshift.log import setup
@@ -28,26 +29,26 @@
 def put_in(engine: Engine, defect: str, by: float) -> None:
     """Round the one place where requests are taken. ``by``: the share of one class that fails; times the
     processor time of a request."""
-    submit: Callable[[Call, Reply, bool], int] = engine.submit
+    submit: Callable[..., int] = engine.submit
     draw, dummies = random.Random(1), count(1 << 40)
 
-    def worse(call: Call, reply: Reply, waits: bool = False) -> int:
+    def worse(call: Call, *more: Any) -> int:
         if call.class_name == WORSE_CLASS and draw.random() < by:
-            return submit(replace(call, patience_us=1_000), reply, waits)  # given up before any answer
-        return submit(call, reply, waits)
+            return submit(replace(call, patience_us=1_000), *more)  # given up before any answer
+        return submit(call, *more)
 
-    def slower(call: Call, reply: Reply, waits: bool = False) -> int:
+    def slower(call: Call, *more: Any) -> int:
         end = time.process_time() + by * 1e-3
         while time.process_time() < end:
             pass
-        return submit(call, reply, waits)
+        return submit(call, *more)
 
-    def mute(call: Call, reply: Reply, waits: bool = False) -> int:
+    def mute(call: Call, *more: Any) -> int:
         return next(dummies)  # nothing is ever heard of it
 
     changed = {"worse": worse, "slower": slower, "mute": mute}.get(defect)
     if changed is not None:
-        engine.submit = changed  # type: ignore[method-assign]
+        engine.submit = changed  # type: ignore[method-assign, assignment]
 
 
 async def grow(mb_per_s: float) -> None:
--- a/tests/real/test_endings.py
+++ b/tests/real/test_endings.py
@@ -8,13 +8,16 @@
 import subprocess
 import sys
 import unittest
+from functools import partial
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+from magpieshift.core.engine import Engine
 from magpieshift.feed import client
 from magpieshift.front import server
 from magpieshift.front.frames import Type, head
+from molecleat import interface as api
 from tests.real.exchange import PATIENCE_S, ROOT, Program, Within, config, free_port
 from tests.real.test_front import request
 
@@ -136,6 +139,30 @@
             router.act(f"client2> {ASK[1]}")
             await router.play(f"cache< {CACHE_ASKED}")  # and nothing for those two before it
 
+    def over(self, engine: Engine, taken: int) -> bool:
+        return engine.taken == taken and engine.open_requests == 0
+
+    async def test_nothing_is_written_for_who_goes_in_the_instant_before(self) -> None:
+        """Read by a busy loop only behind the write, it was sent on all the same."""
+        async with Within() as router:
+            module = router.router.engine._router
+            decide = module.handle
+            for ending in ("~", "^", "-", f"> {head(Type.ABANDON, 1).hex()}"):
+                await router.play(f"client+\nclient> {READY_ASKED}\nclient< {READY}")
+
+                def go_first(now_us: int, events: Any, ending: str = ending) -> Any:
+                    if any(isinstance(event, api.Request) for event in events):
+                        router.act(f"client{ending}")
+                    return decide(now_us, events)
+
+                engine = router.router.engine
+                wanted = engine.taken + 1
+                with mock.patch.object(module, "handle", go_first):
+                    router.act(f"client> {ASK[1]}")
+                    await router.until(partial(self.over, engine, wanted))
+            await router.play(f"client2+\nclient2> {ASK[2]}\ncache+")
+            await router.play('cache< "ASK 0000000000000002 class=picture," /[^\\r]*\\r\\n\\r\\n/')
+
     async def test_who_half_closes_or_resets_has_gone(self) -> None:
         async with Within() as router:
             for ending in "~^-":
