Let every connection linger at the end, however many there are

Seen: by reading the change once more: with more than 16 resting clients the first ones were closed at once in the end's own round, and a request that crossed the close reset them. Cause: LingeringClose bounds how many linger, for the descriptors; at the end nobody comes any more, and each only keeps the one it has. Change: FrontServer.end raises the bound by the connections there are. Test: more_than_may_linger_at_other_times, fails without.

--- a/magpieshift/front/server.py
+++ b/magpieshift/front/server.py
@@ -369,6 +369,8 @@
         that is left after this time is closed as it is."""
         self._ending = True
         self.stop_listening()
+        # nobody comes any more, so descriptors do not bound how many linger at once
+        self._closing.most += len(self._connections)
         loop = asyncio.get_running_loop()
         end = loop.time() + within_s
         while True:
--- a/magpieshift/streams.py
+++ b/magpieshift/streams.py
@@ -72,7 +72,7 @@
     bytes and number. Owner of the sockets meanwhile; ``_drop`` gives them back."""
 
     def __init__(self, most: int = MOST_LINGERING) -> None:
-        self._most = most
+        self.most = most
         self._open: dict[socket.socket, asyncio.TimerHandle] = {}  # in the order in which they came
         self._left: dict[socket.socket, int] = {}  # bytes that are still thrown away
 
@@ -85,7 +85,7 @@
             sock.shutdown(socket.SHUT_WR)
         except OSError:  # reset, or never up: nobody is there
             return sock.close()
-        while len(self._open) >= self._most:
+        while len(self._open) >= self.most:
             self.drop_oldest()
         loop = asyncio.get_running_loop()
         self._open[sock] = loop.call_later(LINGER_S, self._drop, sock)
--- a/tests/real/test_endings.py
+++ b/tests/real/test_endings.py
@@ -17,6 +17,7 @@
 from magpieshift.feed import client
 from magpieshift.front import server
 from magpieshift.front.frames import Type, head
+from magpieshift.streams import MOST_LINGERING
 from molecleat import interface as api
 from tests.real.exchange import PATIENCE_S, ROOT, Program, Within, config, free_port
 from tests.real.test_front import request
@@ -73,6 +74,23 @@
             await router.play(f"client< {NO_MORE}\nclient.")
             self.assertEqual(router.router.engine.taken, 0)
 
+    async def test_more_than_may_linger_at_other_times_are_closed_gently_at_the_end(self) -> None:
+        async with Within() as router:
+            many = range(MOST_LINGERING + 4)
+            for i in many:
+                router.act(f"client{i}+")
+            front = router.router._front
+            await router.until(lambda: front.connected == len(many))
+            ending = asyncio.ensure_future(front.end(PATIENCE_S))
+            await router.until(lambda: not front.connected)
+            for i in many:
+                for stream in (1, 2):
+                    router.act(f"client{i}> {ASK[stream]}")
+                await router.play(f"client{i}.")
+            for i in many:
+                router.act(f"client{i}-")
+            await asyncio.wait_for(ending, PATIENCE_S)
+
     async def test_an_end_before_the_start_is_over_closes_at_once(self) -> None:
         router = Within()
         router.router.stop()
