Keep purges at constant cost each, however many are remembered

Cause: Router._purged rebuilt the whole table for each purge, so what a second of purges costs grew with the square of their rate. Ruled out: the look-up in _age, which takes two look-ups whatever the size.

Change: molecleat/purges.py holds the table's rules; it is gone through only when it has doubled since the last time. The table stays a plain dictionary in the order it had, so that captures and keyframes read as before. (Reordering the dictionary as an expiry queue was tried: a keyframe after dropped batches then differs from the replayed state, test_a_stuck_disk_costs_whole_batches_and_is_told.) The hash moves to molecleat/hashing.py.

--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -10,8 +10,10 @@
 from typing import Any
 
 from molecleat import interface as api
+from molecleat import purges
+from molecleat.hashing import MASK, mix
 from molecleat.interface import NEVER_RAN, Effect, Mode, Note, Outcome, Phase, Scope
-from molecleat.records import FILL, LOOK, MASK, SMOOTH, WRITE, Attempt, Job, Pace, Store, mix
+from molecleat.records import FILL, LOOK, SMOOTH, WRITE, Attempt, Job, Pace, Store
 
 UNANSWERED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.MOOT)
 LEAST_CAP = 4  # fills in flight a source is good for, from each of as many routers, until it has shown more
@@ -44,7 +46,8 @@
         self.origins: dict[int, Store] = {}
         self.jobs: dict[int, Job] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.purges: dict[tuple[int, int], int] = {}
+        self.purges: purges.Purges = {}
+        self.purges_most = purges.LEAST_SIZE
         self.timers: list[tuple[int, int]] = []
         self.lost = 0.0  # running share of answers that never came, of stores well and heard since
         self.again = MOST_AGAIN  # how many answers may be taken for lost
@@ -105,18 +108,14 @@
             self._wake(store)
 
     def _purged(self, event: api.Purged) -> None:
-        key = (1, event.key) if event.key else (0, event.group)
-        self.purges[key] = max(self.now - event.age_us, self.purges.get(key, 0))
-        past = self.now - 2 * self.cfg.purge_done_us
-        self.purges = {key: made for key, made in self.purges.items() if made >= past}
+        purges.add(self.purges, event.key, event.group, self.now - event.age_us)
+        if len(self.purges) >= self.purges_most:
+            self.purges_most = purges.expire(self.purges, self.now - 2 * self.cfg.purge_done_us)
 
     def _age(self, job: Job) -> int:
         """Oldest copy that will do, by class and purge; never 0 for a purge: that would mean the default."""
-        made = max(self.purges.get((1, job.req.key), -1), self.purges.get((0, job.req.group), -1))
-        if made < 0 or self.now - made > 2 * self.cfg.purge_done_us:  # twice covers fills under way
-            return job.cls.fresh_us
-        bound = max(1, self.now - made - 1)
-        return min(bound, job.cls.fresh_us) if job.cls.fresh_us else bound
+        kept = 2 * self.cfg.purge_done_us  # twice covers fills under way
+        return purges.oldest_copy(self.purges, job.req, job.cls.fresh_us, self.now, kept)
 
     def _cold_rate(self, store: Store) -> float:
         """Work a microsecond this router may send a store that started lately; infinite once warm."""
--- a/molecleat/records.py
+++ b/molecleat/records.py
@@ -7,7 +7,6 @@
 
 from molecleat import interface as api
 
-MASK = (1 << 64) - 1
 SMOOTH = 0.1  # weight of a new sample in running means: the last ten or so count
 WRITE, LOOK, FILL = range(3)  # what an attempt takes of its source: each is counted and capped by itself
 FEW = 10  # samples that a mean needs before anything rests on it
@@ -15,14 +14,6 @@
 LOST_AT, LOST_LEAST, LOST_STEADY = 4, 0.6, 0.1  # mean deviations; least of the aim; largest deviation
 
 
-def mix(value: int) -> int:
-    """A fixed 64-bit scramble, the same in every process."""
-    value = (value + 0x9E3779B97F4A7C15) & MASK
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
-    return value ^ (value >> 31)
-
-
 @dataclass(slots=True)
 class Pace:
     """How long answers take, as a share of their aim: the mean and its mean deviation, as in TCP's timer."""
