--- a/magpieshift/installation/runner.py
+++ b/magpieshift/installation/runner.py
@@ -94,9 +94,7 @@
                 self.router.engine.object_number = keyed_hash(options.hash_key)
             if options.capture:
                 limits = Limits(budget=options.capture_mb << 20)
-                self.fittings.append(
-                    Recording(self.router, options.capture, limits, bool(options.hash_key))
-                )
+                self.fittings.append(Recording(self.router, options.capture, limits, bool(options.hash_key)))
         if options.control:
             from magpieshift.installation.following import Following
 
--- a/magpieshift/lab/experiments/overload.py
+++ b/magpieshift/lab/experiments/overload.py
@@ -57,7 +57,7 @@
 
 def _paused(fleet: Fleet) -> None:
     """A fifth of all routers stands still for 5 s."""
-    for name in sorted(fleet.routers)[:: 5]:
+    for name in sorted(fleet.routers)[::5]:
         fleet.pause(name, 5 * SECOND)
 
 
@@ -196,7 +196,6 @@
     return out
 
 
-
 @dataclass(frozen=True)
 class Point:
     """One point of the map, and what was found there."""
--- a/magpieshift/lab/experiments/rolled.py
+++ b/magpieshift/lab/experiments/rolled.py
@@ -85,7 +85,8 @@
     )  # fmt: skip
     path = folder / "report.html"
     name, way = html.escape(status["name"]), html.escape(status["way"])
-    path.write_text(f"""<!doctype html><meta charset="utf-8"><title>Rollout {name}</title>
+    path.write_text(
+        f"""<!doctype html><meta charset="utf-8"><title>Rollout {name}</title>
 <style>body {{ font-family: sans-serif; max-width: 60em; margin: 2em auto }} td {{ padding: 0 .6em }}</style>
 <h1>Rollout {name}: {way}</h1>
 <p>{html.escape(str(status["why"]))}</p>
@@ -93,5 +94,7 @@
 <h2>What was decided</h2>
 <table><tr><th>at<th>term<th>what<th>step<th>router<th>label<th>stage<th>way<th>why</tr>
 {steps}</table>
-""", encoding="utf-8")
+""",
+        encoding="utf-8",
+    )
     return path
--- a/magpieshift/lab/proving/faulty.py
+++ b/magpieshift/lab/proving/faulty.py
@@ -2,7 +2,7 @@
 run ...``.
 
 What a rollout has to notice. The defects are put round the engine from outside: the program itself has none
-of this. """
+of this."""
 
 from __future__ import annotations
 
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/ground.py
@@ -87,7 +87,7 @@
 
     ``digests`` and ``hand_over`` are set as in the settings' members. ``slack_s`` is granted beyond the
     time limits of the rules on top of the platform's 0.05 s: more where a verdict must not hang on how busy
-    the machine is. ``clocks`` names the routers whose clocks can be set. """
+    the machine is. ``clocks`` names the routers whose clocks can be set."""
 
     def __init__(
         self, folder: Path, routers: int, seed: int = 1, alone: float = 0.5, rate: float = 20.0,
--- a/magpieshift/lab/proving/trials.py
+++ b/magpieshift/lab/proving/trials.py
@@ -3,7 +3,7 @@
 
 Faults are drawn so that many begin while the fleet still recovers from another, and so that it can be
 judged afterwards: each ends, no router has two of its own at a time, no more than half of the routers and
-never all stores of a kind are away at once, and the last quarter is quiet. """
+never all stores of a kind are away at once, and the last quarter is quiet."""
 
 from __future__ import annotations
 
@@ -111,9 +111,7 @@
         for kind, many in (("box", boxes), ("hub", hubs)):
             if fault.who.startswith(kind) and sum(who.startswith(kind) for who in away) + 1 >= max(many, 2):
                 return False
-    return not (
-        fault.what in AT_STORES and any(o.who == fault.who and o.what == fault.what for o in beside)
-    )
+    return not (fault.what in AT_STORES and any(o.who == fault.who and o.what == fault.what for o in beside))
 
 
 async def shrink(run: Run, fails: Callable[[Run], Awaitable[bool]], most: int = 60) -> Run:
--- a/magpieshift/lab/simulated/fleet.py
+++ b/magpieshift/lab/simulated/fleet.py
@@ -240,9 +240,7 @@
             self._submit(router, call, reply, over)
         self.time.after(3.2 * SECOND, given_up)
 
-    def _submit(
-        self, router: Router, call: Call, reply: Callable[[Answer], None], over: list[bool]
-    ) -> None:
+    def _submit(self, router: Router, call: Call, reply: Callable[[Answer], None], over: list[bool]) -> None:
         if not router.clock.dead and not over[0]:
             router.engine.submit(call, lambda answer: None if over[0] else reply(answer))
 
--- a/magpieshift/lab/simulated/rollout.py
+++ b/magpieshift/lab/simulated/rollout.py
@@ -3,7 +3,7 @@
 A process is a rate of requests by class, the share of them that it serves in time, processor time, memory
 and a chance to go away. What strikes all (an outage, a slow origin) and what only the new version has are
 drawn apart, so it is known whether a stop was right. Coordinators are killed and resumed, paused and
-overtaken; steps fail; doors fall silent. """
+overtaken; steps fail; doors fall silent."""
 
 from __future__ import annotations
 
--- a/magpieshift/lab/simulated/stores.py
+++ b/magpieshift/lab/simulated/stores.py
@@ -258,6 +258,7 @@
         elif held_only:
             came(Result(Outcome.MISS, Note.SOURCE_LACKS))
         else:
+
             def fetched(result: Result) -> None:
                 if result.outcome != Outcome.OK:
                     note = Note.ORIGIN_FAILED if result.outcome == Outcome.ERROR else Note.SOURCE_REFUSED
--- a/magpieshift/lab/simulated/talk.py
+++ b/magpieshift/lab/simulated/talk.py
@@ -43,9 +43,7 @@
 
     def _here(self) -> list[str]:
         now = self._fleet.time.now_us
-        return sorted(
-            name for name in self._fleet.routers if now - self._died.get(name, now) < NOTICED_US
-        )
+        return sorted(name for name in self._fleet.routers if now - self._died.get(name, now) < NOTICED_US)
 
     def _turn(self, router: Router, talker: Talker) -> None:
         now = self._fleet.time.now_us
--- a/magpieshift/members/shares.py
+++ b/magpieshift/members/shares.py
@@ -230,4 +230,3 @@
         reserved = {scope: max(kept.get(scope, 0.0), part) for scope, part in offer.items()}
         self._ledger[who] = _Lease(reserved, now_us + self._longest(), claim.number, offer)
         return Claim(self._term, Kind.GRANT, claim.number, tuple(sorted(offer.items())))
-
--- a/magpieshift/overload/news.py
+++ b/magpieshift/overload/news.py
@@ -2,7 +2,7 @@
 I/O.
 
 Ages go along in place of times, so no clocks are compared; each router counts on from where it was told.
-Only a witness renews its own word, and words that nobody renews are forgotten: stale news is no news. """
+Only a witness renews its own word, and words that nobody renews are forgotten: stale news is no news."""
 
 from __future__ import annotations
 
--- a/magpieshift/overload/relief.py
+++ b/magpieshift/overload/relief.py
@@ -4,7 +4,7 @@
 What is handed over is refused at once with a short time to return; the client's next try goes to another
 router. There is one hand-over at most: a marked repeat is never handed over, nor is a write. Which requests
 go is a hash of their object, so the same ones go as long as the share stays. Where no neighbour has said
-lately that it has room, nobody is sent anywhere, and the router goes on as it would by itself. """
+lately that it has room, nobody is sent anywhere, and the router goes on as it would by itself."""
 
 from __future__ import annotations
 
--- a/magpieshift/overload/talk.py
+++ b/magpieshift/overload/talk.py
@@ -3,7 +3,7 @@
 
 Nothing is said while nothing fails and nobody is pressed. What is new of a store goes to a few at random at
 once and for some turns, and from them on; what is merely renewed goes to one a turn. A router that is
-pressed tells its neighbours, and they tell it how they are. """
+pressed tells its neighbours, and they tell it how they are."""
 
 from __future__ import annotations
 
--- a/magpieshift/overload/trials.py
+++ b/magpieshift/overload/trials.py
@@ -5,7 +5,7 @@
 among the first leaves the store alone as long as it hears that it fails, and comes back at its own moment
 once it is said to be well. Word alone is bounded in what it can do: it takes two witnesses, it is not
 heeded by who has just had a good answer, and it never takes away more than half of the stores of one kind
-and place. Where nothing is heard, nothing is heeded: each router then goes by what it sees itself. """
+and place. Where nothing is heard, nothing is heeded: each router then goes by what it sees itself."""
 
 from __future__ import annotations
 
@@ -62,9 +62,7 @@
         mine = place(store, self.own)
         return sum(place(store, name) > mine for name in here if name != self.own) < TRIERS
 
-    def judge(
-        self, now_us: int, news: News, here: Collection[str], seen: Mapping[str, Seen]
-    ) -> list[Act]:
+    def judge(self, now_us: int, news: News, here: Collection[str], seen: Mapping[str, Seen]) -> list[Act]:
         """What to do about each store of which there is news; ``here`` are the routers that are there and not
         suspected, this one included, ``seen`` the stores this router may ask."""
         out: list[Act] = []
--- a/magpieshift/rollout/coordinator.py
+++ b/magpieshift/rollout/coordinator.py
@@ -8,7 +8,7 @@
 up.
 
 One step at a time. Before each, all that do not answer are counted as away, the one to be changed as well;
-with more than the plan allows, nothing is begun. """
+with more than the plan allows, nothing is begun."""
 
 from __future__ import annotations
 
--- a/magpieshift/rollout/journal.py
+++ b/magpieshift/rollout/journal.py
@@ -2,7 +2,7 @@
 through before anything is done by it. One coordinator may hold a folder open; reading needs nothing.
 
 A record that a crash tore off was never acted on, and is cut away when the file is opened to be written. A
-damaged one in the middle is a reason to stop: what rests on it is not known. """
+damaged one in the middle is a reason to stop: what rests on it is not known."""
 
 from __future__ import annotations
 
--- a/magpieshift/rollout/judge.py
+++ b/magpieshift/rollout/judge.py
@@ -10,7 +10,7 @@
 less.
 
 Processor time a request is compared look by look, memory by the slope of each process's own line, and
-processes that go away or take no requests by how many did on either side. """
+processes that go away or take no requests by how many did on either side."""
 
 from __future__ import annotations
 
@@ -276,9 +276,7 @@
             return f"all {len(here)} new processes have gone, and none came back"
         share = self.time_us[self.new] / max(1, sum(self.time_us.values()))
         both = new + old
-        tail = sum(
-            math.comb(both, k) * share**k * (1 - share) ** (both - k) for k in range(new, both + 1)
-        )
+        tail = sum(math.comb(both, k) * share**k * (1 - share) ** (both - k) for k in range(new, both + 1))
         if tail < self.worse.wrongly * GONE_CARE and new > 1:
             return f"{new} new processes have gone by themselves, {old} old ones"
         return ""
--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -56,8 +56,13 @@
         self.us_per_kb = 1e6 / settings.flow_kb_per_s if settings.flow_kb_per_s else 0.0
         self.subscribed = not settings.must_subscribe
         self.reactions: dict[type, Callable[[Any], None]] = {
-            api.Request: self._request, api.Ended: self._ended, api.Begun: self._left, api.Hangup: self._left,
-            api.Elapsed: self._elapsed, api.StoreList: self._list, api.Purged: self._purged,
+            api.Request: self._request,
+            api.Ended: self._ended,
+            api.Begun: self._left,
+            api.Hangup: self._left,
+            api.Elapsed: self._elapsed,
+            api.StoreList: self._list,
+            api.Purged: self._purged,
         }
 
     def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
--- a/tests/members/test_explored.py
+++ b/tests/members/test_explored.py
@@ -112,6 +112,7 @@
 
     found += [go(all_well), go(backwards)]
     for name in NAMES:
+
         def sleeps(new: State, name: str = name) -> None:
             tick(new, (name,))
             kept = [m for m in new.under_way if m[1] == name]
@@ -121,7 +122,7 @@
 
         def unheard(new: State, name: str = name) -> None:
             tick(new)
-            while (left := [m for m in new.under_way if m[0] != name]):
+            while left := [m for m in new.under_way if m[0] != name]:
                 new.deliver(new.under_way.index(left[0]))
             new.under_way = []
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -126,8 +126,7 @@
 
 def test_the_documented_outcome_is_decoded() -> None:
     raw = bytes.fromhex(
-        "0403000000c4913a5d0144480000b82400000102000000"
-        "0a124a07931f00000352b81e3fcdcccc3e0000a03f00000000"
+        "0403000000c4913a5d0144480000b824000001020000000a124a07931f00000352b81e3fcdcccc3e0000a03f00000000"
     )
     body = struct.pack("<IQ", 1, 5) + raw.ljust(48, b"\0")
     ((who, event),) = wire.Frame(1, body).events()
