--- a/molecleat/control.py
+++ b/molecleat/control.py
@@ -114,13 +114,11 @@
 
     def _purged(self, event: api.Purged) -> None:
         purges.add(self.purges, event.key, event.group, self.now - event.age_us)
-        if len(self.purges) >= self.purges_most:
-            self.purges_most = purges.expire(self.purges, self.now - 2 * self.cfg.purge_done_us)
+        self.purges_most = purges.expire(self.purges, self.purges_most, self.now, self.cfg.purge_done_us)
 
     def _age(self, job: Job) -> int:
         """Oldest copy that will do, by class and purge; never 0 for a purge: that would mean the default."""
-        kept = 2 * self.cfg.purge_done_us  # twice covers fills under way
-        return purges.oldest_copy(self.purges, job.req, job.cls.fresh_us, self.now, kept)
+        return purges.oldest_copy(self.purges, job.req, job.cls.fresh_us, self.now, self.cfg.purge_done_us)
 
     def _cold_rate(self, store: Store) -> float:
         """Work a microsecond this router may send a store that started lately; infinite once warm."""
--- a/tests/test_purges.py
+++ b/tests/test_purges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import NamedTuple
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,37 +13,53 @@
 from molecleat.control import Router
 from tests.helpers import settings
 
-KEPT_US = 1000
-TOLD = st.tuples(st.integers(0, 400), st.integers(0, 3), st.integers(0, 2), st.integers(0, 3 * KEPT_US))
+DONE_US = 500
+KEPT_US = 2 * DONE_US
+FRESH_US = 777
+
+
+class Told(NamedTuple):
+    gap_us: int
+    key: int
+    group: int
+    age_us: int
+
+
+TOLD = st.builds(Told, st.integers(0, 400), st.integers(0, 3), st.integers(0, 2), st.integers(0, 3 * KEPT_US))
+
+
+def request(key: int, group: int) -> api.Request:
+    return api.Request(1, 0, 0, key, 1_000_000, 0.0, group, 0, False, False)
 
 
 class Table(unittest.TestCase):
-    @given(st.lists(TOLD, max_size=60))
-    def test_it_says_what_a_table_that_forgets_nothing_says(
-        self, told: list[tuple[int, int, int, int]]
-    ) -> None:
+    @given(st.lists(TOLD, max_size=60), st.sampled_from([0, FRESH_US]))
+    def test_it_bounds_as_a_table_that_forgets_nothing(self, history: list[Told], fresh_us: int) -> None:
         table: purges.Purges = {}
         everything: list[tuple[int, int, int]] = []
         now_us = 10 * KEPT_US
-        for gap_us, key, group, age_us in told:
-            now_us += gap_us
-            past_us = now_us - KEPT_US
-            purges.add(table, key, group, now_us - age_us)
-            purges.expire(table, past_us)
-            everything.append((key, group, now_us - age_us))
-            for asked_key in range(1, 4):
-                for asked_group in range(3):
-                    concerned = ((asked_key, None), (0, asked_group))
+        for told in history:
+            now_us += told.gap_us
+            made_us = now_us - told.age_us
+            purges.add(table, told.key, told.group, made_us)
+            purges.expire(table, 1, now_us, DONE_US)
+            everything.append((told.key, told.group, made_us))
+            for key in range(1, 4):
+                for group in range(3):
                     made = [
-                        at for k, g, at in everything if at >= past_us and (k, None if k else g) in concerned
+                        at
+                        for k, g, at in everything
+                        if at >= now_us - KEPT_US and (k == key or (k == 0 and g == group))
                     ]
-                    found = purges.last(table, asked_key, asked_group, past_us)
-                    self.assertEqual(found, max(made, default=None))
+                    bounds = [max(1, now_us - max(made) - 1)] if made else []
+                    bounds += [fresh_us] if fresh_us else []
+                    found = purges.oldest_copy(table, request(key, group), fresh_us, now_us, DONE_US)
+                    self.assertEqual(found, min(bounds, default=0))
 
     def test_the_module_goes_through_it_only_when_it_has_doubled(self) -> None:
         """It was gone through for each purge, which cost four times as much a second at twice the rate."""
         router = Router(settings(), 1)
-        kept_us = 2 * router.cfg.purge_done_us
+        kept_s = 2 * router.cfg.purge_done_us / 1e6
         rate, gone_through, largest = 440, 0, 0
         for number in range(1, 40 * rate):
             before = len(router.purges)
@@ -51,7 +68,7 @@
             largest = max(largest, len(router.purges))
         self.assertLessEqual(1, gone_through)
         self.assertLessEqual(gone_through, 10)
-        self.assertLessEqual(largest, 2 * rate * kept_us // 1_000_000 + 2)
+        self.assertLessEqual(largest, 2 * rate * kept_s + 2)
 
 
 if __name__ == "__main__":
