--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     ("magpieshift.core",),
     ("magpieshift.front", "magpieshift.back", "magpieshift.feed", "magpieshift.console"),
     ("magpieshift.control", "magpieshift.capture", "magpieshift.members", "magpieshift.overload"),
-    ("magpieshift.app", "magpieshift.rollout"),
+    ("magpieshift.app", "magpieshift.rollout", "magpieshift.relay"),
     ("magpieshift.installation",),
     ("magpieshift.lab",),
     ("magpieshift.cli",),
