--- a/magpieshift/cli/captures.py
+++ b/magpieshift/cli/captures.py
@@ -11,17 +11,8 @@
 
 from magpieshift.cli import show
 from magpieshift.cli.hinting import JSON, Hinting
-
-
-def errors() -> tuple[type[Exception], ...]:
-    """What says in one line that a capture or module cannot be used; none where captures have no
-    libraries."""
-    try:
-        from magpieshift.capture.policy import PolicyError
-        from magpieshift.capture.segments import CaptureError
-    except ImportError:
-        return ()
-    return CaptureError, PolicyError
+from magpieshift.cli.parameters import SEED, NewFile, NewFolder, Number, Whole
+from magpieshift.config import ConfigError
 
 
 def _records(file: str) -> Iterator[Any]:
@@ -89,14 +80,16 @@
         for line in story.why(lambda: _records(file), story.find_request(lambda: _records(file), request)):
             click.echo(line)
     except LookupError as err:
-        raise click.ClickException(str(err.args[0])) from None
+        raise ConfigError(f"{file}: {err.args[0]}") from None
 
 
 @capture.command(epilog="\b\nExample:\n  magpieshift capture cut capture/ part.seg --from 120 --to 125")
 @click.argument("file")
-@click.argument("out")
-@click.option("--from", "from_s", type=float, required=True, help="Seconds after the capture's first batch.")
-@click.option("--to", "to_s", type=float, required=True, help="Likewise.")
+@click.argument("out", type=NewFile())
+@click.option(
+    "--from", "from_s", type=Number(), required=True, help="Seconds after the capture's first batch."
+)
+@click.option("--to", "to_s", type=Number(), required=True, help="Likewise.")
 @JSON
 def cut(file: str, out: str, from_s: float, to_s: float, as_json: bool) -> None:
     """Copy a part of a capture, with a keyframe at its beginning, to the file OUT."""
@@ -132,7 +125,7 @@
 
 @click.command(epilog="\b\nExample:\n  magpieshift replay capture/ --against ../altered")
 @click.argument("file")
-@click.option("--times", default=1, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--times", default=1, show_default=True, type=Whole(1, 10_000))
 @click.option("--against", default="", help="Folder of a checkout whose module is run beside this one's.")
 @JSON
 def replay(file: str, times: int, against: str, as_json: bool) -> None:
@@ -174,9 +167,15 @@
 
 
 def _scenario(file: str, seconds: float, seed: int, rate: float) -> Any:
+    from magpieshift.control.sexp import Unusable
     from magpieshift.lab.experiments import scenario
 
-    return scenario.load_file(file) if file else scenario.bad_morning(seconds, seed, rate)
+    if not file:
+        return scenario.bad_morning(seconds, seed, rate)
+    try:
+        return scenario.load_file(file)
+    except Unusable as err:
+        raise ConfigError(f"{file}: {err}") from err
 
 
 def _progress(seconds: float, shown: bool) -> Any:
@@ -191,15 +190,17 @@
 @click.command(
     epilog="\b\nExample:\n  magpieshift lab episode --seconds 60 --seed 3 --capture cap/ --report r.html"
 )
-@click.option("--seconds", default=30.0, show_default=True)
-@click.option("--seed", default=1, show_default=True)
-@click.option("--rate", default=120.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", default=30.0, show_default=True, type=Number(1, 3600))
+@click.option("--seed", default=1, show_default=True, type=SEED)
+@click.option(
+    "--rate", default=120.0, show_default=True, type=Number(0, 10_000, above=True), help="Requests a second."
+)
 @click.option(
     "--scenario", "file", default="", help="A file of its own, in place of a bad morning from the seed."
 )
-@click.option("--capture", "folder", default="", help="Record into this folder.")
-@click.option("--report", default="", help="Write an HTML report here.")
-@click.option("--save", default="", help="Write the run here, for lab report.")
+@click.option("--capture", "folder", default="", type=NewFolder(), help="Record into this folder.")
+@click.option("--report", default="", type=NewFile(), help="Write an HTML report here.")
+@click.option("--save", default="", type=NewFile(), help="Write the run here, for lab report.")
 @JSON
 def episode(
     seconds: float, seed: int, rate: float, file: str, folder: str, report: str, save: str, as_json: bool
@@ -244,21 +245,24 @@
     "report", epilog="\b\nExample:\n  magpieshift lab report before.json after.json --out both.html"
 )
 @click.argument("runs", nargs=-1, required=True)
-@click.option("--out", default="report.html", show_default=True)
+@click.option("--out", default="report.html", show_default=True, type=NewFile())
 def report_(runs: Iterable[str], out: str) -> None:
     """Put saved runs side by side in one HTML file."""
     from magpieshift.lab.experiments import report as reports
 
-    try:
-        reports.write(out, {name: reports.load(name) for name in runs})
-    except (OSError, ValueError) as err:
-        raise click.ClickException(str(err)) from err
+    reports.write(out, {name: reports.load(name) for name in runs})
     click.echo(out)
 
 
 @click.command()
-@click.option("--seconds", default=20.0, show_default=True)
-@click.option("--out", default="demo", show_default=True, help="Folder for the report and the capture.")
+@click.option("--seconds", default=20.0, show_default=True, type=Number(1, 3600))
+@click.option(
+    "--out",
+    default="demo",
+    show_default=True,
+    type=NewFolder(),
+    help="Folder for the report and the capture.",
+)
 def demo(seconds: float, out: str) -> None:
     """All at once for a first look: stand-ins, a router and load come up, stores die and return."""
     import shutil
--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -5,19 +5,26 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from typing import Any
 
 import click
 
 from magpieshift.cli.hinting import JSON
+from magpieshift.cli.parameters import SEED, SHARE, Address, NewFolder, Number, OneOf, Sizes, Whole
 from magpieshift.config import ConfigError, address
 
 PRINTED = ("name", "standing", "for_s", "address", "zone", "state", "program", "settings", "load", "why")
+TALK_KEYS = ("failing", "left", "over", "share", "why", "pressure", "rate")
+MEMBERS_KEYS = (
+    "members", "history", "isolated", "own", "view", "digest", "here", "share", "zone_share",
+)  # fmt: skip
 
 
-def _asked(console: str, word: str, hint: str) -> dict[str, Any]:
-    """What a router's door answers to a word, from JSON; ``ConfigError`` where it does not."""
+def _asked(console: str, word: str, keys: Sequence[str], hint: str) -> dict[str, Any]:
+    """What a router's door answers to a word, from JSON, with these keys; ``ConfigError`` where it does
+    not."""
     host, port = address(console, "console")
 
     async def ask() -> str:
@@ -30,22 +37,29 @@
 
     try:
         line = asyncio.run(ask())
-    except (OSError, TimeoutError) as err:
+    except (OSError, ValueError) as err:  # a line without an end, or no text, is a ValueError
         raise ConfigError(f"{console}: no answer: {err or 'not within 3 s'}") from err
     if not line.startswith("OK "):
         raise ConfigError(f"{console}: found {line[:120]!r}, expected OK: {hint}")
-    found: dict[str, Any] = json.loads(line[3:])
+    try:
+        found = json.loads(line[3:])
+    except (ValueError, RecursionError):
+        found = None
+    if not isinstance(found, dict) or not found.keys() >= set(keys):
+        raise ConfigError(f"{console}: found {line[:120]!r}, expected JSON with {', '.join(keys)}")
     return found
 
 
 @click.command(epilog="\b\nExample:\n  magpieshift talk --console 127.0.0.1:6566")
-@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
+@click.option(
+    "--console", envvar="EDGE_CONSOLE", required=True, type=Address(), help="host:port of a router's door."
+)
 @JSON
 def talk(console: str, as_json: bool) -> None:
     """What one router says and hears of failing stores, and whether it hands clients over."""
     from magpieshift.cli import show
 
-    found = _asked(console, "TALK", "is (members (digests yes) ...) set?")
+    found = _asked(console, "TALK", TALK_KEYS, "is (members (digests yes) ...) set?")
     if as_json:
         return show.as_json(found)
     show.rows([{"store": store, "said by": ", ".join(who), "left to others": store in found["left"]}
@@ -55,14 +69,16 @@
 
 
 @click.command(epilog="\b\nExample:\n  magpieshift members --console 127.0.0.1:6566")
-@click.option("--console", envvar="EDGE_CONSOLE", required=True, help="host:port of a router's door.")
+@click.option(
+    "--console", envvar="EDGE_CONSOLE", required=True, type=Address(), help="host:port of a router's door."
+)
 @click.option("--history", is_flag=True, help="The last changes of its view.")
 @JSON
 def members(console: str, history: bool, as_json: bool) -> None:
     """Who is there, as one router sees it, and why it suspects whom."""
     from magpieshift.cli import show
 
-    found = _asked(console, "MEMBERS", "is (members ...) set?")
+    found = _asked(console, "MEMBERS", MEMBERS_KEYS, "is (members ...) set?")
     if as_json:
         return show.as_json(found)
     rows = found["history"] if history else [
@@ -77,17 +93,27 @@
 
 
 @click.command("members", epilog="\b\nExample:\n  magpieshift lab members --routers 8,50 --seed 1 --json")
-@click.option("--routers", default="8,50", show_default=True, help="Sizes of the fleet.")
-@click.option("--seed", default=1, show_default=True)
-@click.option("--minutes", default=2.0, show_default=True, help="Under loss and pauses, simulated.")
-@click.option("--loss", default=0.3, show_default=True, help="Share of datagrams lost meanwhile.")
-@click.option("--deaths", default=5, show_default=True, help="One after another, afterwards.")
+@click.option(
+    "--routers", default="8,50", show_default=True, type=Sizes(2, 10_000), help="Sizes of the fleet."
+)
+@click.option("--seed", default=1, show_default=True, type=SEED)
+@click.option(
+    "--minutes",
+    default=2.0,
+    show_default=True,
+    type=Number(0, 10_000),
+    help="Under loss and pauses, simulated.",
+)
+@click.option("--loss", default=0.3, show_default=True, type=SHARE, help="Share of datagrams lost meanwhile.")
+@click.option("--deaths", default=5, show_default=True, type=Whole(0), help="One after another, afterwards.")
 @click.option("--without", type=click.Choice(["health", "observers"]), help="An ablation.")
-@click.option("--explore", default=0, help="Instead: all histories of three, to so many states.")
+@click.option(
+    "--explore", default=0, type=Whole(0, 1 << 40), help="Instead: all histories of three, to so many states."
+)
 @JSON
 def lab_members(
-    routers: str, seed: int, minutes: float, loss: float, deaths: int, without: str | None, explore: int,
-    as_json: bool,
+    routers: tuple[int, ...], seed: int, minutes: float, loss: float, deaths: int, without: str | None,
+    explore: int, as_json: bool,
 ) -> None:  # fmt: skip
     """Membership on a simulated network: loss, pauses, deaths, a partition and its healing."""
     from magpieshift.cli import show
@@ -111,7 +137,7 @@
     if without == "observers":
         tuning = replace(tuning, watched=1, accusers=1)
     rows = []
-    for size in (int(word) for word in routers.split(",")):
+    for size in routers:
         found = play(
             size, seed, minutes, loss,
             tuning=tuning, size=lambda datagram: len(encode(datagram)), deaths=deaths,
@@ -124,14 +150,32 @@
             click.echo(json.dumps(row))
 
 
+def _overload_scenarios() -> Iterable[str]:
+    from magpieshift.lab.experiments.overload import SCENARIOS
+
+    return SCENARIOS
+
+
 @click.command("overload", epilog="\b\nExample:\n  magpieshift lab overload --scenario origin-half --json")
-@click.option("--scenario", default="", help="One of them; all where none is named.")
-@click.option("--routers", default=40, show_default=True)
-@click.option("--seed", default=1, show_default=True)
-@click.option("--load", default=1.0, show_default=True, help="Times what the installation was made for.")
+@click.option(
+    "--scenario", default="", type=OneOf(_overload_scenarios), help="One of them; all where none is named."
+)
+@click.option("--routers", default=40, show_default=True, type=Whole(1, 10_000))
+@click.option("--seed", default=1, show_default=True, type=SEED)
+@click.option(
+    "--load",
+    default=1.0,
+    show_default=True,
+    type=Number(0, 1000, above=True),
+    help="Times what the installation was made for.",
+)
 @click.option("--without", is_flag=True, help="Routers do not talk to each other.")
-@click.option("--digests-lost", default=0.0, show_default=True, help="Share of what they say that is lost.")
-@click.option("--liars", default=0, show_default=True, help="Routers that say that all stores fail.")
+@click.option(
+    "--digests-lost", default=0.0, show_default=True, type=SHARE, help="Share of what they say that is lost."
+)
+@click.option(
+    "--liars", default=0, show_default=True, type=Whole(0), help="Routers that say that all stores fail."
+)
 @click.option("--map", "whole", is_flag=True, help="Instead: loads, triggers and clients, one by one.")
 @JSON
 def lab_overload(
@@ -145,8 +189,8 @@
     from magpieshift.lab.experiments.overload import SCENARIOS, Talking, map_of, play
     from magpieshift.lab.simulated.fleet import Form
 
-    if scenario and scenario not in SCENARIOS:
-        raise click.UsageError(f"--scenario: found {scenario}, expected one of {', '.join(SCENARIOS)}")
+    if liars > routers:
+        raise ConfigError(f"--liars: found {liars}, expected no more than the {routers} routers")
     form = Form(routers=routers, seed=seed, load=load)
     if whole:
         return show.rows([vars(point) for point in map_of(form, os.cpu_count() or 1)], as_json)
@@ -160,10 +204,15 @@
 
 @click.command("fleet-run", epilog="\b\nExample:\n  magpieshift lab fleet-run paused --seed 2 --json")
 @click.argument("scenario", required=False)
-@click.option("--routers", default=0, help="In place of the scenario's.")
-@click.option("--seed", default=0, help="In place of the scenario's.")
+@click.option("--routers", default=0, type=Whole(0, 16), help="In place of the scenario's.")
+@click.option("--seed", default=0, type=SEED, help="In place of the scenario's.")
 @click.option("--list", "listed", is_flag=True, help="The scenarios that need no file.")
-@click.option("--folder", default="", help="Where settings, logs and the verdict are left; else in /tmp.")
+@click.option(
+    "--folder",
+    default="",
+    type=NewFolder(),
+    help="Where settings, logs and the verdict are left; else in /tmp.",
+)
 @JSON
 def fleet_run(
     scenario: str | None, routers: int, seed: int, listed: bool, folder: str, as_json: bool
@@ -172,6 +221,7 @@
     import tempfile
     from pathlib import Path
 
+    from magpieshift.control.sexp import Unusable
     from magpieshift.lab.proving import run as runs
     from magpieshift.lab.proving import scenario as scenarios
 
@@ -181,9 +231,11 @@
         return
     if scenario is None:
         raise click.UsageError("SCENARIO: found nothing, expected a file or one of --list")
-    known = scenario in scenarios.KNOWN
-    plan = scenarios.load(scenarios.KNOWN[scenario]) if known else scenarios.load_file(scenario)
-    plan = replace(plan, routers=routers or plan.routers, seed=seed or plan.seed)
+    try:
+        plan = scenarios.named(scenario)
+        plan = scenarios.altered(plan, routers or plan.routers, seed or plan.seed)
+    except Unusable as err:
+        raise ConfigError(f"{scenario}: {err}") from err
     where = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="fleet-run-"))
     verdict = asyncio.run(runs.play(plan, where, (lambda line: None) if as_json else click.echo))
     with contextlib.suppress(ImportError):
@@ -194,13 +246,13 @@
 
 
 @click.command("trials", epilog="\b\nExample:\n  magpieshift lab trials --runs 4 --seed 100 --json")
-@click.option("--runs", default=1, show_default=True, help="Histories, seeds counting up.")
-@click.option("--seed", default=1, show_default=True)
-@click.option("--routers", default=6, show_default=True)
-@click.option("--seconds", default=40.0, show_default=True)
-@click.option("--faults", default=8, show_default=True)
+@click.option("--runs", default=1, show_default=True, type=Whole(), help="Histories, seeds counting up.")
+@click.option("--seed", default=1, show_default=True, type=SEED)
+@click.option("--routers", default=6, show_default=True, type=Whole(2, 16))
+@click.option("--seconds", default=40.0, show_default=True, type=Number(10, 3600))
+@click.option("--faults", default=8, show_default=True, type=Whole(0, 1000))
 @click.option("--shrink/--no-shrink", default=True, help="Cut a failing one down to a scenario.")
-@click.option("--folder", default="", help="Where all is left; else in /tmp.")
+@click.option("--folder", default="", type=NewFolder(), help="Where all is left; else in /tmp.")
 @JSON
 def trials(
     runs: int, seed: int, routers: int, seconds: float, faults: int, shrink: bool, folder: str, as_json: bool
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -1,10 +1,8 @@
-"""The sub-commands. Exit codes: 0 done; 1 it failed or was turned down, or a comparison found differences;
-2 the call or a file cannot be used."""
+"""The sub-commands; ``magpieshift.cli.errors`` has their exit codes."""
 
 from __future__ import annotations
 
 import asyncio
-import sys
 from collections.abc import Sequence
 from typing import Any
 
@@ -12,8 +10,10 @@
 
 from magpieshift.cli import captures, rollouts
 from magpieshift.cli import fleet as fleet_commands
+from magpieshift.cli.errors import PROGRAM, guarded
 from magpieshift.cli.hinting import JSON, Hinting
 from magpieshift.cli.logs import setup
+from magpieshift.cli.parameters import RATE, SEED, SHARE, Address, Sizes, Whole
 from magpieshift.config import ConfigError
 
 EXAMPLES = """\b
@@ -42,19 +42,31 @@
 )
 @click.option("--config", envvar="EDGE_CONFIG", default="", help="Settings file.")
 @click.option("--state", envvar="EDGE_STATE", default="", help="Folder where versions are kept.")
-@click.option("--control", envvar="EDGE_CONTROL", default="", help="host:port of the control service.")
+@click.option(
+    "--control", envvar="EDGE_CONTROL", default="", type=Address(), help="host:port of the control service."
+)
 @click.option("--name", envvar="EDGE_NAME", default="", help="Wins over the settings' name.")
-@click.option("--listen", envvar="EDGE_LISTEN", default="", help="Wins over the settings' listen.")
-@click.option("--console", envvar="EDGE_CONSOLE", default="", help="host:port for operators' calls.")
+@click.option(
+    "--listen", envvar="EDGE_LISTEN", default="", type=Address(), help="Wins over the settings' listen."
+)
+@click.option(
+    "--console", envvar="EDGE_CONSOLE", default="", type=Address(), help="host:port for operators' calls."
+)
 @click.option("--capture", envvar="EDGE_CAPTURE", default="", help="Folder to record all decisions into.")
 @click.option(
-    "--capture-mb", envvar="EDGE_CAPTURE_MB", default=512, show_default=True, type=click.IntRange(64)
+    "--capture-mb", envvar="EDGE_CAPTURE_MB", default=512, show_default=True, type=Whole(64, 1 << 30)
 )
 @click.option(
     "--hash-key", envvar="EDGE_HASH_KEY", default="", help="File with a key to hash object ids under."
 )
 @click.option("--label", envvar="EDGE_LABEL", default="", help="What this process runs, as a rollout says.")
-@click.option("--term", envvar="EDGE_TERM", default=-1, help="Of the rollout that starts it; -1: none.")
+@click.option(
+    "--term",
+    envvar="EDGE_TERM",
+    default=-1,
+    type=Whole(-1, 1 << 53),
+    help="Of the rollout that starts it; -1: none.",
+)
 @LOG
 def run_(
     config: str,
@@ -217,7 +229,7 @@
 
 
 @config.command(epilog="\b\nExample:\n  magpieshift config rollback 12 --versions versions/")
-@click.argument("number", type=int)
+@click.argument("number", type=Whole(0, 10**18 - 1))
 @click.option("--versions", required=True, help="The control service's folder.")
 @JSON
 def rollback(number: int, versions: str, as_json: bool) -> None:
@@ -234,7 +246,10 @@
     found = {version.number: version for version in read_folder(versions)}
     if number not in found:
         raise ConfigError(f"{versions} has no version {number}")
-    data = schema.load_text(found[number].text).data
+    try:
+        data = schema.load_text(found[number].text).data
+    except sexp.Unusable as err:
+        raise ConfigError(f"{Path(versions) / f'{number}.sexp'}: {err}") from err
     new = max(found) + 1
     path = Path(versions) / f"{new}.sexp"
     part = path.with_suffix(".new")
@@ -255,7 +270,7 @@
     "serve", epilog="\b\nExample:\n  magpieshift control serve versions/ --listen 127.0.0.1:7080"
 )
 @click.argument("folder")
-@click.option("--listen", default="127.0.0.1:7080", show_default=True)
+@click.option("--listen", default="127.0.0.1:7080", show_default=True, type=Address(any_port=True))
 @LOG
 def serve_(folder: str, listen: str, log_form: str) -> None:
     """Serve the versions in FOLDER (files NUMBER.sexp, also ones that come later) to all routers that ask."""
@@ -284,12 +299,18 @@
 
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab versions --count 1000 --invalid 0.2 --seed 7 --json")
-@click.option("--count", default=1000, show_default=True, help="Versions to send.")
-@click.option("--invalid", default=0.2, show_default=True, help="Share of them that cannot be used.")
-@click.option("--kills", default=6, show_default=True, help="Times the router is killed (SIGKILL).")
-@click.option("--breaks", default=10, show_default=True, help="Times the connection is broken.")
-@click.option("--rate", default=20.0, show_default=True, help="Requests a second meanwhile.")
-@click.option("--seed", default=1, show_default=True)
+@click.option("--count", default=1000, show_default=True, type=Whole(), help="Versions to send.")
+@click.option(
+    "--invalid", default=0.2, show_default=True, type=SHARE, help="Share of them that cannot be used."
+)
+@click.option(
+    "--kills", default=6, show_default=True, type=Whole(0, 1000), help="Times the router is killed (SIGKILL)."
+)
+@click.option(
+    "--breaks", default=10, show_default=True, type=Whole(0, 1000), help="Times the connection is broken."
+)
+@click.option("--rate", default=20.0, show_default=True, type=RATE, help="Requests a second meanwhile.")
+@click.option("--seed", default=1, show_default=True, type=SEED)
 @JSON
 def versions(
     count: int, invalid: float, kills: int, breaks: int, rate: float, seed: int, as_json: bool
@@ -310,8 +331,10 @@
 
 
 @lab.command("apply", epilog="\b\nExample:\n  magpieshift lab apply --members 1000")
-@click.option("--members", default=1000, show_default=True, help="Stores in the list.")
-@click.option("--rounds", default=100, show_default=True, help="Versions of each kind.")
+@click.option(
+    "--members", default=1000, show_default=True, type=Whole(1, 100_000), help="Stores in the list."
+)
+@click.option("--rounds", default=100, show_default=True, type=Whole(), help="Versions of each kind.")
 @JSON
 def apply_(members: int, rounds: int, as_json: bool) -> None:
     """Measure how long versions take to come into force, and how long the event loop is held."""
@@ -329,9 +352,9 @@
     "--capture", is_flag=True, help="Measure run with and without recording, in place of the bare program."
 )
 @click.option("--stuck", is_flag=True, help="Likewise, and with a disk that is stuck for 10 s.")
-@click.option("--rounds", default=5, show_default=True)
-@click.option("--requests", default=4000, show_default=True, help="In each run.")
-@click.option("--rate", default=400.0, show_default=True, help="Requests a second.")
+@click.option("--rounds", default=5, show_default=True, type=Whole())
+@click.option("--requests", default=4000, show_default=True, type=Whole(), help="In each run.")
+@click.option("--rate", default=400.0, show_default=True, type=RATE, help="Requests a second.")
 @JSON
 def cost(
     against: str, capture: bool, stuck: bool, rounds: int, requests: int, rate: float, as_json: bool
@@ -344,6 +367,8 @@
     from magpieshift.lab.experiments.cost import Variant, compare, recording
 
     here = str(Path(__file__).parents[2])
+    if against and not (Path(against) / "magpieshift" / "__main__.py").is_file():
+        raise ConfigError(f"--against: found {against!r}, expected a folder with magpieshift/__main__.py")
     variants = [Variant("this", here), *([Variant("other", against)] if against else [])]
     if capture or stuck:
         variants = recording(here, stuck)
@@ -351,24 +376,27 @@
 
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab decisions --caches 4,12,100")
-@click.option("--caches", default="4,12,17,100,1000", show_default=True, help="Sizes of the zone.")
-@click.option("--requests", default=3000, show_default=True, help="In each run.")
-@click.option("--rounds", default=3, show_default=True)
+@click.option(
+    "--caches",
+    default="4,12,17,100,1000",
+    show_default=True,
+    type=Sizes(1, 100_000),
+    help="Sizes of the zone.",
+)
+@click.option("--requests", default=3000, show_default=True, type=Whole(), help="In each run.")
+@click.option("--rounds", default=3, show_default=True, type=Whole())
 @JSON
-def decisions(caches: str, requests: int, rounds: int, as_json: bool) -> None:
+def decisions(caches: tuple[int, ...], requests: int, rounds: int, as_json: bool) -> None:
     """Measure what the decisions alone cost a request, by the number of caches in the zone."""
     from magpieshift.cli import show
     from magpieshift.lab.experiments.decisions import measure
 
-    sizes = [int(word) for word in caches.split(",") if word.isdecimal() and int(word) > 0]
-    if not sizes:
-        raise click.UsageError(f"--caches: found {caches!r}, expected numbers like 4,12")
-    show.rows(measure(sizes, requests, rounds), as_json)
+    show.rows(measure(caches, requests, rounds), as_json)
 
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab door --calls 500")
-@click.option("--calls", default=500, show_default=True)
-@click.option("--rate", default=300.0, show_default=True, help="Requests a second meanwhile.")
+@click.option("--calls", default=500, show_default=True, type=Whole())
+@click.option("--rate", default=300.0, show_default=True, type=RATE, help="Requests a second meanwhile.")
 @JSON
 def door(calls: int, rate: float, as_json: bool) -> None:
     """Measure how long the operators' door takes to answer under load, with mute callers crowding it."""
@@ -379,8 +407,10 @@
 
 
 @lab.command(epilog="\b\nExample:\n  magpieshift lab handover --rounds 40")
-@click.option("--rounds", default=40, show_default=True, help="Handovers of each way.")
-@click.option("--clients", default=16, show_default=True, help="Threads that connect all the time.")
+@click.option("--rounds", default=40, show_default=True, type=Whole(), help="Handovers of each way.")
+@click.option(
+    "--clients", default=16, show_default=True, type=Whole(1, 1000), help="Threads that connect all the time."
+)
 @JSON
 def handover(rounds: int, clients: int, as_json: bool) -> None:
     """Count connections lost while one listener takes an address over, by the way it is done."""
@@ -429,25 +459,4 @@
 
 def run(args: Sequence[str]) -> int:
     """Run the command line; its exit code."""
-    from magpieshift.control.sexp import Unusable
-    from magpieshift.control.store import StoreError
-
-    unusable: tuple[type[Exception], ...] = (ConfigError, StoreError, Unusable, *captures.errors())
-    try:
-        cli.main(args=list(args), prog_name="magpieshift", standalone_mode=False)
-    except click.UsageError as err:
-        err.show()
-        return 2
-    except unusable as err:
-        print(f"magpieshift: {err}", file=sys.stderr)
-        return 2
-    except click.ClickException as err:
-        err.show()
-        return 1
-    except click.exceptions.Exit as err:
-        return err.exit_code
-    except click.Abort:
-        return 130
-    except SystemExit as err:
-        return int(err.code or 0)
-    return 0
+    return guarded(lambda: cli.main(args=list(args), prog_name=PROGRAM, standalone_mode=False))
--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -10,13 +10,19 @@
 
 import click
 
-from magpieshift.cli.hinting import JSON
+from magpieshift.cli.hinting import JSON, Hinting
+from magpieshift.cli.logs import setup
+from magpieshift.cli.parameters import SEED, NewFolder, Whole
 from magpieshift.config import ConfigError
 
 STATE = click.option("--state", required=True, help="Folder of the rollout's journal.")
+LEAST_REAL, MOST_REAL = 2, 16  # router processes on one machine
+STATUS_KEYS = (
+    "name", "term", "way", "stages", "stage", "new", "old", "away", "figures", "verdict", "why", "fenced",
+)  # fmt: skip
 
 
-@click.group()
+@click.group(cls=Hinting)
 def rollout() -> None:
     """Change a fleet in stages, with old and new compared side by side."""
 
@@ -52,7 +58,6 @@
 
 
 def _conduct(plan: str, state: str, as_json: bool, fresh: bool, back: bool = False) -> None:
-    from magpieshift.log import setup
     from magpieshift.rollout.conduct import Conduct
     from magpieshift.rollout.journal import JournalError, read
 
@@ -67,7 +72,7 @@
             click.echo(line)
         last = line
 
-    setup("text")
+    setup("pairs")
     try:
         if fresh and read(folder):
             raise ConfigError(f"{state} holds a rollout already: resume it, or name another folder")
@@ -100,6 +105,17 @@
     _conduct(plan, state, as_json, fresh=False, back=put_back)
 
 
+def _status(path: Path) -> dict[str, Any]:
+    """What a coordinator has left in its folder; ``ConfigError`` where that is no status."""
+    try:
+        found = json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError) as err:
+        raise ConfigError(f"{path.parent}: no status: {err}") from err
+    if not isinstance(found, dict) or not found.keys() >= set(STATUS_KEYS):
+        raise ConfigError(f"{path}: found {found!r:.80}, expected {', '.join(STATUS_KEYS)}")
+    return found
+
+
 @rollout.command(epilog="\b\nExample:\n  magpieshift rollout status --state rollouts/new-7 --watch")
 @STATE
 @click.option("--watch", is_flag=True, help="Again every second, until it is over.")
@@ -110,10 +126,7 @@
     from magpieshift.rollout.conduct import STATUS
 
     while True:
-        try:
-            found = json.loads((Path(state) / STATUS).read_text())
-        except (OSError, ValueError) as err:
-            raise ConfigError(f"{state}: no status: {err}") from err
+        found = _status(Path(state) / STATUS)
         if as_json:
             show.as_json(found)
         else:
@@ -145,6 +158,20 @@
         raise ConfigError(str(err)) from err
 
 
+def _must_hold_rollout(folder: Path) -> None:
+    """``ConfigError`` where no coordinator has ever worked in this folder."""
+    from magpieshift.rollout.journal import JournalError, read
+
+    if not folder.is_dir():
+        raise ConfigError(f"{folder} is no folder")
+    try:
+        records = read(folder)
+    except JournalError as err:
+        raise ConfigError(f"{folder}: {err}") from err
+    if not records:
+        raise ConfigError(f"{folder} holds no rollout")
+
+
 def _say(word: str, help_text: str) -> click.Command:
     @rollout.command(word, help=help_text)
     @STATE
@@ -152,8 +179,7 @@
     def command(state: str, why: str) -> None:
         from magpieshift.rollout.conduct import say
 
-        if not Path(state).is_dir():
-            raise ConfigError(f"{state} is no folder")
+        _must_hold_rollout(Path(state))
         say(Path(state), word, why)
 
     return command
@@ -170,12 +196,19 @@
 
 @click.command("rollout", epilog="\b\nExample:\n  magpieshift lab rollout --scenario leak --simulated")
 @click.option("--scenario", default="", help="One of them; all where none is named.")
-@click.option("--routers", default=0, help="8 real ones, or 200 simulated.")
-@click.option("--seed", default=1, show_default=True)
+@click.option("--routers", default=0, type=Whole(0, 10_000), help="8 real ones, or 200 simulated.")
+@click.option("--seed", default=1, show_default=True, type=SEED)
 @click.option("--simulated", is_flag=True, help="The same plan, judge and coordinator on a fake clock.")
-@click.option("--runs", default=1, show_default=True, help="Simulated: so many, seeds counting up.")
+@click.option(
+    "--runs", default=1, show_default=True, type=Whole(), help="Simulated: so many, seeds counting up."
+)
 @click.option("--before", is_flag=True, help="Simulated, an ablation: compare with what was before.")
-@click.option("--folder", default="", help="Where logs, settings and the journal are left; else in /tmp.")
+@click.option(
+    "--folder",
+    default="",
+    type=NewFolder(),
+    help="Where logs, settings and the journal are left; else in /tmp.",
+)
 @JSON
 def lab_rollout(
     scenario: str, routers: int, seed: int, simulated: bool, runs: int, before: bool, folder: str,
@@ -193,6 +226,10 @@
     known = simulation.SCENARIOS if simulated else proving.SCENARIOS
     if scenario and scenario not in known:
         raise click.UsageError(f"--scenario: found {scenario}, expected one of {', '.join(known)}")
+    if not simulated and routers and not LEAST_REAL <= routers <= MOST_REAL:
+        raise click.UsageError(
+            f"--routers: found {routers}, expected {LEAST_REAL} to {MOST_REAL} where they are no simulation"
+        )
     wrong = False
     for name in [scenario] if scenario else list(known):
         if simulated:
--- a/magpieshift/config.py
+++ b/magpieshift/config.py
@@ -137,6 +137,14 @@
     return "_".join(text.replace(",", " ").split(" ")).replace("\n", "_")
 
 
+def read_text(path: str | Path) -> str:
+    """A file's text, as UTF-8; ``ConfigError`` where it cannot be read."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as err:
+        raise ConfigError(f"{path} cannot be read: {err}") from err
+
+
 def address(text: object, what: str) -> Address:
     """``host:port``, the host as an IPv4 address or a name."""
     host, _, port = str(text).rpartition(":")
--- a/magpieshift/control/publisher.py
+++ b/magpieshift/control/publisher.py
@@ -143,6 +143,6 @@
     """The versions in a folder's files ``NUMBER.sexp``, in order; other files are passed over."""
     found = []
     for path in Path(folder).iterdir():
-        if match := VERSION_FILE.fullmatch(path.name):
+        if (match := VERSION_FILE.fullmatch(path.name)) and path.is_file():
             found.append(Published.of(int(match[1]), path.read_text(encoding="utf-8", errors="replace")))
     return sorted(found, key=lambda version: version.number)
--- a/magpieshift/control/schema.py
+++ b/magpieshift/control/schema.py
@@ -16,7 +16,16 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, StringConstraints, ValidationError
 
-from magpieshift.config import LEAST_SOCKETS, ConfigError, Document, Limits, Members, Names, address
+from magpieshift.config import (
+    LEAST_SOCKETS,
+    ConfigError,
+    Document,
+    Limits,
+    Members,
+    Names,
+    address,
+    read_text,
+)
 from magpieshift.control import sexp
 from magpieshift.control.sexp import Path, Problem, Unusable
 from molecleat.interface import Effect, RequestClass, Scope, Settings
@@ -175,11 +184,7 @@
 
 def load_file(path: str | FilePath) -> Loaded:
     """Read a settings file; ``ConfigError`` where it cannot be read, ``Unusable`` where it cannot be used."""
-    try:
-        text = FilePath(path).read_text(encoding="utf-8")
-    except (OSError, ValueError) as err:
-        raise ConfigError(f"{path} cannot be read: {err}") from err
-    return load_text(text, str(path))
+    return load_text(read_text(path), str(path))
 
 
 def load_data(data: Mapping[str, Any], lines: Mapping[Path, int] | None = None) -> Loaded:
--- a/magpieshift/lab/experiments/fleet.py
+++ b/magpieshift/lab/experiments/fleet.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-KINDS = ("asked", "refused", "failed", "left", "sent", "ended", "connecting", "listed")
+KINDS: dict[str, tuple[str, ...]] = {  # the events that count, and what each must tell
+    "asked": (), "refused": (), "failed": (), "left": (), "sent": ("store", "source"),
+    "ended": ("outcome", "note"), "connecting": (), "listed": (),
+}  # fmt: skip
 
 
 @dataclass(slots=True)
@@ -25,7 +28,7 @@
 
 def read(folder: Path) -> list[Line]:
     """All traced lines of a folder of logs, by their times; ``ValueError`` where there are none."""
-    lines = [line for path in sorted(folder.glob("*.log")) for line in _read(path)]
+    lines = [line for path in sorted(folder.glob("*.log")) if path.is_file() for line in _read(path)]
     if not lines:
         raise ValueError(f"{folder}: found no traced lines in *.log, expected logs of EDGE_TRACE=1")
     return sorted(lines, key=lambda line: line.at_s)
@@ -35,7 +38,8 @@
     with path.open(encoding="utf-8", errors="replace") as file:
         for text in file:
             pairs = dict(word.split("=", 1) for word in text.split() if "=" in word)
-            if pairs.get("event") not in KINDS or "time" not in pairs:
+            needed = KINDS.get(pairs.get("event", ""))
+            if needed is None or not pairs.keys() >= {"time", *needed}:
                 continue
             try:
                 yield Line(float(pairs["time"]), path.stem, pairs["event"], pairs)
--- a/magpieshift/lab/experiments/report.py
+++ b/magpieshift/lab/experiments/report.py
@@ -10,15 +10,57 @@
 from pathlib import Path
 from typing import Any
 
+from pydantic import BaseModel, ValidationError
+
+from magpieshift.config import ConfigError, read_text
+
 Run = Mapping[str, Any]  # as ``episode.saved`` writes it
 
 
+class Slice(BaseModel):
+    """One second of a run; counts of requests, and latencies in milliseconds."""
+
+    second: int
+    served: float
+    refused: float
+    failed: float
+    lost: float
+    p50_ms: float
+    p99_ms: float
+
+
+class Injected(BaseModel):
+    """One failure that the run was given."""
+
+    what: str
+    who: str
+    at_s: float
+    for_s: float
+
+
+class Saved(BaseModel):
+    """The form of a saved run."""
+
+    figures: dict[str, Any]
+    slices: list[Slice]
+    stores: dict[str, list[int]]  # by place: requests in each second, below zero while it was down
+    examples: list[str]
+    failures: list[Injected]
+
+
 def load(path: str) -> Run:
-    """A saved run; ``ValueError`` where the file is none."""
-    data = json.loads(Path(path).read_text(encoding="utf-8"))
-    if not isinstance(data, dict) or "slices" not in data:
-        raise ValueError(f"{path} is no saved episode")
-    return data
+    """A saved run; ``ConfigError`` where the file is none."""
+    text = read_text(path)
+    try:
+        Saved.model_validate_json(text)
+    except ValidationError as err:
+        first = err.errors(include_url=False)[0]
+        place = " ".join(map(str, first["loc"])) or "the whole"
+        raise ConfigError(
+            f"{path} is no saved episode: {place}: found {first['input']!r:.80}, expected {first['msg']}"
+        ) from err
+    found: Run = json.loads(text)
+    return found
 
 
 def _png(run: Run, latest: float) -> bytes:
--- a/magpieshift/lab/experiments/scenario.py
+++ b/magpieshift/lab/experiments/scenario.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path as FilePath
 from typing import Annotated, Any, Literal
 
 import numpy as np
 from pydantic import Field
 
+from magpieshift.config import read_text
 from magpieshift.control import sexp
 from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
@@ -89,7 +89,8 @@
 
 
 def load_file(path: str) -> Scenario:
-    tree = sexp.read(FilePath(path).read_text(encoding="utf-8"), path, HEAD)
+    """A file's; ``ConfigError`` where it cannot be read, ``Unusable`` where it cannot be used."""
+    tree = sexp.read(read_text(path), path, HEAD)
     return load(tree.data, tree.lines)
 
 
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 from pydantic import Field
 
+from magpieshift.config import ConfigError, read_text
 from magpieshift.control import sexp
 from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
@@ -130,10 +131,28 @@
 
 
 def load_file(path: str) -> Run:
-    tree = sexp.read(Path(path).read_text(encoding="utf-8"), path, HEAD)
+    """A file's; ``ConfigError`` where it cannot be read, ``Unusable`` where it cannot be used."""
+    tree = sexp.read(read_text(path), path, HEAD)
     return load(tree.data, tree.lines)
 
 
+def named(name: str) -> Run:
+    """One of ``KNOWN`` or else a file's; ``ConfigError`` where it is neither, ``Unusable`` where it cannot be
+    used."""
+    if name in KNOWN:
+        return load(KNOWN[name])
+    if not Path(name).exists():
+        raise ConfigError(f"{name}: found no such file, expected one or one of {', '.join(KNOWN)}")
+    return load_file(name)
+
+
+def altered(run: Run, routers: int, seed: int) -> Run:
+    """The run with another size and seed; ``Unusable`` where its faults do not fit that size."""
+    changed = replace(run, routers=routers, seed=seed)
+    load(sexp.read(written(changed), HEAD, HEAD).data)
+    return changed
+
+
 KNOWN: dict[str, dict[str, Any]] = {
     "quiet": {"seconds": 10},
     "paused": {"seconds": 25, "faults": {
--- a/magpieshift/rollout/plan.py
+++ b/magpieshift/rollout/plan.py
@@ -11,7 +11,7 @@
 
 from pydantic import Field
 
-from magpieshift.config import Address, ConfigError, address
+from magpieshift.config import Address, ConfigError, address, read_text
 from magpieshift.control import sexp
 from magpieshift.control.forms import Form, Lines, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
@@ -195,9 +195,5 @@
 
 def load_file(path: str | Path) -> Plan:
     """Read a plan; ``ConfigError`` where it cannot be read, ``Unusable`` where it cannot be used."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, ValueError) as err:
-        raise ConfigError(f"{path} cannot be read: {err}") from err
-    tree = sexp.read(text, str(path), HEAD)
+    tree = sexp.read(read_text(path), str(path), HEAD)
     return load(tree.data, tree.lines)
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,307 @@
+"""Bad input to every command: one clear line on standard error, and exit code 2.
+
+``ROWS`` has what each command is called with; a command of the tree without a row fails the test. What does
+not need a row of its own (an unknown option, a parameter whose type takes no such text) is tried at every
+command by the tree itself.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import logging
+import os
+import signal
+import socket
+import tempfile
+import threading
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+
+from magpieshift.cli import parameters
+from magpieshift.cli.main import cli, run
+from magpieshift.rollout import journal
+from tests.control.test_documents import EXAMPLE
+from tests.real.exchange import ROOT
+
+REFUSED_WITHIN_S = 30  # a command that takes longer was not refused but begun
+NONSENSE = "?"  # no number, no address, no name of anything
+
+# what comes after the command's words, and what the line must say besides; {good} is a settings file, {plan}
+# a rollout's plan, {text} a file of other text, {bytes} one that is no text, {folder} an empty folder, {none}
+# nothing, {under} a path under a file, {door} the address of something that answers nonsense, {closed} one
+# where nobody listens, {state} the folder of a rollout whose status is damaged
+Row = tuple[str, str]
+FILES: list[Row] = [
+    ("{none}", "{none}"), ("{folder}", "{folder}"), ("{bytes}", "{bytes}"), ("{text}", "{text}"),
+    ("", "Missing"),
+]  # fmt: skip
+CAPTURES: list[Row] = [("{none}", "no capture"), ("{folder}", "no capture"), ("{text}", "expected")]
+DOORS: list[Row] = [
+    ("--console {none}", "expected host:port"), ("--console 127.0.0.1:0", "expected host:port"),
+    ("--console 127.0.0.1:99999", "expected host:port"), ("--console {closed}", "no answer"),
+    ("--console {door}", "found"), ("", "--console"),
+]  # fmt: skip
+STATES: list[Row] = [
+    ("--state {none}", "{none}"), ("--state {folder}", "{folder}"), ("--state {text}", "{text}"),
+    ("", "--state"),
+]  # fmt: skip
+PLANS: list[Row] = [(f"{words} --state {{none}}".strip(), said) for words, said in FILES]
+ROWS: dict[str, list[Row]] = {
+    "run": [
+        ("", "no settings"), ("--config {none}", "{none}"), ("--config {folder}", "{folder}"),
+        ("--config {bytes}", "{bytes}"), ("--config {text}", "{text}"),
+        ("--config {good} --control nowhere", "--control: found 'nowhere', expected host:port"),
+        ("--config {good} --listen 127.0.0.1:65536", "--listen: found"),
+        ("--config {good} --console :1", "--console: found"), ("--config {good} --term -2", "--term: found"),
+        ("--config {good} --capture-mb 63", "--capture-mb: found '63', expected a whole number from 64"),
+        ("--config {good} --hash-key {none}", "{none}"), ("--config {good} --hash-key {text}", "{text}"),
+        ("--log loud", "--log"),
+    ],
+    "config check": [("{none}", "{none}"), ("{folder}", "{folder}"), ("{bytes}", "{bytes}"), ("", "FILE")],
+    "config show": [
+        *FILES[:-1], ("", "--state"), ("--state {none}", "{none}"),
+        ("--state {folder}", "no version in force"),
+        ("--state {folder} 3", "{folder} has no version 3"), ("--state {text} 3", "{text}"),
+    ],
+    "config diff": [
+        *((f"{{good}} {words}".strip(), said) for words, said in FILES),
+        ("--state {none} 1 2", "{none}"), ("1 2", "1 cannot be read"),
+    ],
+    "config history": [("--state {none}", "{none}"), ("--state {text}", "{text}"), ("", "--state")],
+    "config rollback": [
+        ("1 --versions {none}", "{none}"), ("1 --versions {text}", "{text}"),
+        ("1 --versions {folder}", "{folder} has no version 1"), ("1 --versions {versions}", "1.sexp: line 1"),
+        ("2 --versions {versions}", "has no version 2"),  # a folder of that name
+        ("-- -1 --versions {folder}", "NUMBER: found '-1'"), ("1", "--versions"),
+    ],
+    "control serve": [
+        ("{none}", "{none}"), ("{text}", "{text}"), ("{folder} --listen nowhere", "expected host:port"),
+    ],
+    "members": DOORS,
+    "talk": DOORS,
+    "rollout check": FILES,
+    "rollout start": [
+        *PLANS, ("{plan} --state {text}", "{text}"), ("{plan} --state {state}", "already"),
+        ("{plan}", "--state"),
+    ],
+    "rollout resume": [*PLANS, ("{plan} --state {text}", "{text}"), ("{plan}", "--state")],
+    "rollout status": [*STATES, ("--state {state}", "status.json: found")],
+    "rollout report": STATES,
+    "rollout pause": STATES,
+    "rollout go-on": STATES,
+    "rollout stop": STATES,
+    "rollout back": STATES,
+    "capture info": CAPTURES,
+    "capture why": [*((f"{words} 1", said) for words, said in CAPTURES), ("{capture} 1", "{capture}")],
+    "capture cut": [
+        *((f"{words} {{none}} --from 0 --to 1", said) for words, said in CAPTURES),
+        ("{capture} {none} --from 5 --to 1", "nothing lies there"),
+        ("{capture} {folder} --from 0 --to 1", "OUT"),
+        ("{capture} {under} --from 0 --to 1", "OUT"), ("{capture} {none} --from nan --to 1", "--from"),
+        ("{capture} {none} --from 0", "--to"),
+    ],
+    "capture verify": CAPTURES,
+    "replay": [
+        *CAPTURES, ("{capture} --against {none}", "{none}"), ("{capture} --against {folder}", "{folder}"),
+        ("{capture} --times 0", "--times: found '0', expected a whole number from 1"),
+    ],
+    "lab versions": [
+        ("--invalid 1.1", "--invalid: found"), ("--rate 0", "--rate: found"), ("--kills -1", "--kills"),
+    ],
+    "lab apply": [("--members 0", "--members: found"), ("--rounds 0", "--rounds: found")],
+    "lab cost": [("--against {folder}", "{folder}"), ("--rounds 0", "--rounds"), ("--rate inf", "--rate")],
+    "lab decisions": [
+        ("--caches 4,x", "--caches: found '4,x'"), ("--caches 0", "--caches"), ("--caches ,", "--caches"),
+    ],
+    "lab door": [("--calls 0", "--calls"), ("--rate nan", "--rate")],
+    "lab handover": [("--rounds 0", "--rounds"), ("--clients 0", "--clients")],
+    "lab fleet": [("{none}", "{none}"), ("{folder}", "{folder}"), ("{text}", "{text}"), ("{logs}", "{logs}")],
+    "lab members": [
+        ("--routers 8,1", "--routers"), ("--loss 2", "--loss"), ("--minutes -1", "--minutes"),
+        ("--without care", "--without"), ("--explore -1", "--explore"),
+    ],
+    "lab overload": [
+        ("--scenario none", "--scenario: found 'none', expected one of routers-killed"),
+        ("--routers 4 --liars 5", "--liars: found 5"), ("--load 0", "--load"), ("--routers 0", "--routers"),
+    ],
+    "lab fleet-run": [
+        ("", "SCENARIO"), ("none", "none: found no such file, expected one or one of quiet"),
+        ("{folder}", "{folder}"), ("{bytes}", "{bytes}"), ("{text}", "{text}"),
+        ("quiet --routers 17", "--routers"), ("quiet --routers 1", "quiet: routers: found 1"),
+        ("paused --routers 2", "faults two who: found 'r2'"), ("quiet --folder {under}", "--folder"),
+    ],
+    "lab trials": [("--runs 0", "--runs"), ("--routers 17", "--routers"), ("--folder {text}", "--folder")],
+    "lab rollout": [
+        ("--scenario none", "expected one of same"), ("--routers 1", "--routers: found 1"),
+        ("--simulated --scenario none", "--scenario: found none"), ("--folder {under}", "--folder"),
+    ],
+    "lab episode": [
+        ("--scenario {none}", "{none}"), ("--scenario {folder}", "{folder}"), ("--scenario {text}", "{text}"),
+        ("--scenario {bytes}", "{bytes}"), ("--seconds 0", "--seconds"), ("--report {under}", "--report"),
+        ("--save {folder}", "--save"), ("--capture {text}", "--capture"),
+    ],
+    "lab report": [
+        *FILES, ("{json}", "{json} is no saved episode: slices: found"), ("{json} --out {folder}", "--out"),
+    ],
+    "lab demo": [("--seconds nan", "--seconds"), ("--out {under}", "--out")],
+}  # fmt: skip
+
+
+def leaves(group: click.Group, before: str = "") -> Iterator[tuple[str, click.Command]]:
+    """All commands below a group, by the words they are called with."""
+    for name, command in group.commands.items():
+        words = f"{before} {name}".strip()
+        if isinstance(command, click.Group):
+            yield from leaves(command, words)
+        else:
+            yield words, command
+
+
+def groups(group: click.Group, before: str = "") -> Iterator[str]:
+    """The words of a group and of all groups below it."""
+    yield before
+    for name, command in group.commands.items():
+        if isinstance(command, click.Group):
+            yield from groups(command, f"{before} {name}".strip())
+
+
+def takes_any_text(option: click.Option) -> bool:
+    """Whether nonsense is no mistake: a flag takes no value, and a plain text any."""
+    anything = (click.STRING, parameters.NewFile, parameters.NewFolder)
+    return option.is_flag or option.type is click.STRING or isinstance(option.type, anything[1:])
+
+
+class BadInput(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.home = Path(folder.name)
+        self.places = self.made()
+        handlers = logging.getLogger().handlers[:]
+        self.addCleanup(lambda: logging.getLogger().handlers.__setitem__(slice(None), handlers))
+        for number in (signal.SIGTERM, signal.SIGALRM):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        signal.signal(signal.SIGALRM, self.too_late)
+
+    @staticmethod
+    def too_late(number: int, frame: object) -> None:
+        raise AssertionError(f"it was not refused within {REFUSED_WITHIN_S} s")
+
+    def made(self) -> dict[str, str]:
+        """What the rows name, by the names that they use."""
+        home = self.home
+        for name in ("folder", "versions", "versions/2.sexp", "logs", "logs/r0.log", "state"):
+            (home / name).mkdir()
+        (home / "versions" / "1.sexp").write_text("(half")
+        (home / "text").write_text("so\n")
+        (home / "bytes").write_bytes(b"\xff\xfe\x00")
+        (home / "json").write_text(
+            '{"figures": {}, "slices": 3, "stores": {}, "examples": [], "failures": []}'
+        )
+        held = journal.Journal(home / "state")
+        held.append({"what": "begin", "term": 1})
+        held.close()
+        (home / "state" / "status.json").write_text("[]")
+        places = {path.name: str(path) for path in home.iterdir()}
+        captures = ROOT / "tests" / "capture" / "captures"
+        return places | {
+            "none": str(home / "none"), "under": str(home / "text" / "x"), "good": str(EXAMPLE),
+            "plan": str(ROOT / "deploy" / "rollout.sexp"), "capture": str(next(captures.iterdir())),
+            "door": self.door(), "closed": self.closed(),
+        }  # fmt: skip
+
+    def door(self) -> str:
+        """The address of something that answers each call with what is no answer."""
+        listener = socket.create_server(("127.0.0.1", 0))
+
+        def answer() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    caller, _ = listener.accept()
+                    caller.sendall(b"OK [\n")
+                    caller.close()
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(listener.close)
+        self.addCleanup(listener.shutdown, socket.SHUT_RDWR)
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    @staticmethod
+    def closed() -> str:
+        """An address where nobody listens."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def refused(self, words: list[str], said: str) -> None:
+        """One line that says so, exit code 2, and nothing on standard output."""
+        out, err = io.StringIO(), io.StringIO()
+        signal.alarm(REFUSED_WITHIN_S)
+        try:
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+                code = run(words)
+        finally:
+            signal.alarm(0)
+        text = err.getvalue()
+        self.assertEqual((code, text.count("\n"), out.getvalue()), (2, 1, ""), text)
+        self.assertTrue(text.startswith("magpieshift"), text)
+        self.assertIn(said, text)
+
+    def test_every_command_has_a_row_and_every_row_a_command(self) -> None:
+        self.assertEqual(sorted(ROWS), sorted(words for words, _ in leaves(cli)))
+        self.assertEqual([words for words, rows in ROWS.items() if not rows], [])
+
+    def test_every_row_is_refused_in_one_line(self) -> None:
+        for words, rows in ROWS.items():
+            for more, said in rows:
+                with self.subTest(f"{words} {more}"):
+                    called = [*words.split(), *(word.format(**self.places) for word in more.split())]
+                    self.refused(called, said.format(**self.places))
+        self.assertEqual({path.name for path in self.home.iterdir()} - set(self.places), set())
+
+    def test_what_no_parameter_takes_is_refused_everywhere(self) -> None:
+        for words, command in leaves(cli):
+            with self.subTest(words):
+                self.refused([*words.split(), "--no-such-option"], "--no-such-option")
+            for option in command.params:
+                if not isinstance(option, click.Option) or takes_any_text(option):
+                    continue
+                with self.subTest(f"{words} {option.opts[0]}"):
+                    self.refused([*words.split(), option.opts[0], NONSENSE], option.opts[0])
+                if isinstance(option.type, parameters.Number):
+                    self.refused([*words.split(), option.opts[0], "nan"], option.opts[0])
+
+    def test_words_that_are_no_command_are_refused_in_every_group(self) -> None:
+        for words in groups(cli):
+            with self.subTest(words):
+                self.refused([*words.split(), "no-such-word"], "no such command 'no-such-word'")
+
+    def test_an_option_from_the_environment_is_checked_alike(self) -> None:
+        os.environ["EDGE_CONSOLE"] = "nowhere"
+        self.addCleanup(os.environ.pop, "EDGE_CONSOLE")
+        self.refused(["members"], "--console: found 'nowhere', expected host:port")
+
+
+class Types(unittest.TestCase):
+    def converted(self, kind: click.ParamType[Any], value: str) -> Any:
+        return kind.convert(value, None, None)
+
+    def test_what_is_good_is_taken(self) -> None:
+        self.assertEqual(self.converted(parameters.Sizes(), "4,12"), (4, 12))
+        self.assertEqual(self.converted(parameters.Number(), "0"), 0.0)
+        self.assertEqual(self.converted(parameters.Whole(-1, 3), "-1"), -1)
+        self.assertEqual(self.converted(parameters.Address(any_port=True), "127.0.0.1:0"), "127.0.0.1:0")
+        with tempfile.TemporaryDirectory() as folder:
+            for kind in (parameters.NewFile(), parameters.NewFolder()):
+                self.assertEqual(self.converted(kind, f"{folder}/new"), f"{folder}/new")
+            self.assertEqual(self.converted(parameters.NewFolder(), f"{folder}/a/b"), f"{folder}/a/b")
+
+
+if __name__ == "__main__":
+    unittest.main()
