Let an optional part bound the age of copies at the decision and at the write

A part that holds a lease on its place in the log of purges knows when purges may have been made of which the router was not told. Engine.copy_age_limit is asked at each decision on a read, and again in the moment its order is written: an order may have waited for its connection, or the process been stopped across the lease's end. The smallest of decided bound, class's fresh time and limit holds, and what was decided under a limit stays bounded when it has gone. A copy of the client's own is confirmed by a store's copy under the same bound (known and fresh go in one order). Writes carry no bound, and without the part nothing is asked and the bytes are as they were.

Left open: an order that stands in the stream's own buffer, for a store that takes nothing, keeps the bound it was written with.

--- a/magpieshift/back/link.py
+++ b/magpieshift/back/link.py
@@ -25,7 +25,7 @@
 
 def order_fields(order: Order, now_us: int) -> dict[str, str]:
     """An order in the words of the protocol; what is absent or zero is left out."""
-    call = order.call
+    call, age_us = order.call, order.copy_age_us()
     values: dict[str, str | int] = {
         "class": call.class_name,
         "key": call.key,
@@ -34,7 +34,7 @@
         "once": call.once,
         "via": order.source.ident if order.source is not None else "",
         "tier": order.keep,
-        "fresh": -(-order.age_us // 1000) if order.age_us < 1000 else order.age_us // 1000,
+        "fresh": -(-age_us // 1000) if age_us < 1000 else age_us // 1000,
         "opts": lines.options(order.mode),
         "known": call.known,
     }
--- a/magpieshift/core/engine.py
+++ b/magpieshift/core/engine.py
@@ -142,6 +142,9 @@
         self._last_op = self._module_us = 0
         self.tap: Tap | None = None
         self.watch: Watch | None = None
+        self.copy_age_limit: Callable[[], int] | None = None
+        """The largest age of a copy that any read may accept now, in microseconds, 0 for no limit: for a part
+        that knows when purges may have been missed. Asked at each decision, and again as it is written."""
         self.object_number: Callable[[str], int] = object_number
         self.open_requests = 0
         self.held = 0  # bytes of the bodies of open requests
@@ -475,10 +478,21 @@
         by, deadline = (supplier if source != store else None), now + timeout_us
         attempt.timer = self._clock.after(timeout_us, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         once = request.cls.effect != Effect.FREE
-        barred = partial(self._barred_by_now, attempt)
-        order = Order(request.call, target, by, keep, age_us, mode, deadline, once, barred)
+        barred, oldest = partial(self._barred_by_now, attempt), None
+        if self.copy_age_limit is not None and not request.cls.write:
+            age_us = self._oldest_copy(request.cls, age_us)
+            oldest = partial(self._oldest_copy, request.cls, age_us)
+        order = Order(request.call, target, by, keep, age_us, mode, deadline, once, barred, oldest)
         attempt.exchange = self._back.start(order, lambda result: self._settle(attempt, result))
 
+    def _oldest_copy(self, cls: api.RequestClass, age_us: int) -> int:
+        """The smaller of a decided bound on the copy's age (0: the class's fresh time, if it has one) and the
+        limit that holds now."""
+        limit_us = self.copy_age_limit() if self.copy_age_limit is not None else 0
+        if not limit_us:
+            return age_us
+        return min(limit_us, age_us or cls.fresh_us or limit_us)
+
     def _copy_is_allowed(self, request: _Open, store: int) -> bool:
         """Whether a second copy may run beside the first: the settings say so, it does no harm to run twice,
         and it goes elsewhere, for a store knows a request by its id."""
--- a/magpieshift/core/model.py
+++ b/magpieshift/core/model.py
@@ -80,6 +80,13 @@
     once: bool  # running it twice does harm
     barred: Callable[[], api.Outcome | None]
     """Asked right before it is written: how it ends unwritten, or None where it may go."""
+    oldest_copy: Callable[[], int] | None = None
+    """Asked right before it is written, where copies may be bounded between the decision and the write: the
+    largest age that will do by then, in place of ``age_us``."""
+
+    def copy_age_us(self) -> int:
+        """The largest age of a copy that will do now, in microseconds; 0 for the class's own bound."""
+        return self.age_us if self.oldest_copy is None else self.oldest_copy()
 
 
 @dataclass(slots=True)
--- a/tests/real/test_endings.py
+++ b/tests/real/test_endings.py
@@ -193,6 +193,20 @@
 
 
 class Stores(unittest.IsolatedAsyncioTestCase):
+    async def test_an_order_that_waited_is_written_with_the_bound_of_the_moment(self) -> None:
+        """As by a router that was paused across the end of what it knew, with a decided request in hand."""
+        limit = mock.Mock(return_value=0)
+        asked = r'cache< "ASK %016x class=picture," /[^\r]*/ ",part=0,wait=" /\d+/ ",tier=1%s 0\r\n\r\n"'
+        async with Within(**{"Caps.ConnectTimeoutUs": "10000000"}) as router:
+            router.router.engine.copy_age_limit = limit
+            await asyncio.to_thread(router.fill, "cache")
+            await router.play(f"client+\nclient> {ASK[1]}\nclient> {ASK[2]}")
+            await router.until(lambda: limit.call_count == 2)  # both are decided on
+            limit.side_effect = [5_000_000, 0]  # it has come by the first write, and gone by the second
+            router.free("cache")
+            await router.play(f"cache+\n{asked % (1, ',fresh=5000')}\n{asked % (2, '')}")
+            self.assertEqual(limit.call_count, 4)
+
     async def test_a_connection_closed_in_the_instant_before_the_write_is_not_written_to(self) -> None:
         """What runs once only failed: behind a reset it has to pass for run."""
         async with Within(**{"Classes.1.Effect": '"single_shot"'}) as router:
--- a/tests/real/test_engine.py
+++ b/tests/real/test_engine.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest import mock
 
+from magpieshift.back.link import order_fields
 from magpieshift.config import parse
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Answer, Call, Member, Order, Result, Verdict, object_number, store_number
@@ -261,6 +262,60 @@
         self.engine.list_changed(api.ListKind.DELTA, 2, [draining])
         self.assertEqual(barred(), Outcome.CONNECT_FAILED)
 
+    def written(self) -> str:
+        """The bound on the copy's age that the newest order would be written with now; empty for none."""
+        return order_fields(self.back.orders[-1][0], self.clock.now).get("fresh", "")
+
+    def test_a_limit_on_the_age_of_copies_holds_at_the_decision_and_at_the_write(self) -> None:
+        limit = mock.Mock(return_value=0)
+        self.engine.copy_age_limit = limit
+        self.ask()
+        self.assertEqual(self.written(), "")
+        limit.return_value = 5 * SECOND  # between decision and write
+        self.assertEqual(self.written(), "5000")
+        self.ask()
+        limit.return_value = 0  # what was decided under it stays bounded, what comes after is not
+        self.assertEqual(self.written(), "5000")
+        self.ask()
+        self.assertEqual(self.written(), "")
+
+    def test_the_smaller_of_all_bounds_on_the_age_of_copies_holds(self) -> None:
+        self.engine.purged(CALL.key, 0, self.clock.now - 2 * SECOND)
+        for limit_us, wanted in ((5 * SECOND, "1999"), (SECOND, "1000"), (1, "1"), (0, "1999")):
+            self.engine.copy_age_limit = mock.Mock(return_value=limit_us)
+            self.ask()
+            self.assertEqual(self.written(), wanted)
+
+    def test_a_limit_does_not_take_the_place_of_a_smaller_bound_that_the_class_has(self) -> None:
+        fresh = replace(self.engine._settings.classes[0], fresh_us=3 * SECOND)
+        self.engine._settings = replace(self.engine._settings, classes=(fresh, fresh))
+        self.engine.copy_age_limit = mock.Mock(return_value=5 * SECOND)
+        op = self.ask()
+        self.force = [
+            api.Send(op, self.members[1].entry.store, SECOND)
+        ]  # it carries no bound: the class's holds
+        self.end(Result(Outcome.MISS))
+        self.assertEqual((len(self.back.orders), self.written()), (2, "3000"))
+
+    def test_a_client_has_its_own_copy_confirmed_by_a_bounded_one_only(self) -> None:
+        self.engine.copy_age_limit = mock.Mock(return_value=5 * SECOND)
+        self.ask(replace(CALL, known="4be0c1927d55a6f3"))
+        fields = order_fields(self.back.orders[0][0], self.clock.now)
+        self.assertEqual((fields["known"], fields["fresh"]), ("4be0c1927d55a6f3", "5000"))
+
+    def test_writes_and_routers_without_a_limit_are_as_they_were(self) -> None:
+        self.ask()
+        self.assertIsNone(self.back.orders[0][0].oldest_copy)
+        before = order_fields(self.back.orders[0][0], self.clock.now)
+        self.engine.copy_age_limit = mock.Mock(return_value=0)
+        self.ask()
+        self.assertEqual(order_fields(self.back.orders[1][0], self.clock.now), before)
+        self.engine.copy_age_limit = mock.Mock(return_value=SECOND)
+        self.ask(WRITE)
+        self.assertEqual(self.back.orders[2][0].call.cls, WRITE.cls)
+        self.assertEqual(self.written(), "")
+        self.engine.copy_age_limit.assert_not_called()
+
     def test_an_attempt_at_a_store_that_left_the_list_never_ran(self) -> None:
         op = self.ask()
         self.end(Result(Outcome.MISS))
