Let another source of changes take the change log client's place

EdgeRouter.change_source is started, stopped, and asked whether it has caught up where the router replaces another process; the change log's client is the default and unchanged. Another source, put there before the start, tells the router as a Listener, or events to EdgeRouter.changes, now public.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -21,7 +21,7 @@
 from magpieshift.core.engine import Engine
 from magpieshift.core.model import Call, Member
 from magpieshift.core.numbers import aligned
-from magpieshift.feed.changes import ChangeLog
+from magpieshift.feed.changes import ChangeLog, ChangeSource
 from magpieshift.feed.client import FeedClient
 from magpieshift.front.server import FrontServer
 from magpieshift.lifecycle import LAST_CALL_US, Lifecycle, State
@@ -181,8 +181,9 @@
             self.engine, clock, self.engine.classes, bounds.clients, bounds.bytes_each, self.lifecycle
         )
         self._door: Door | None = None
-        self._changes = ChangeLog(document.names, self)
-        self._feed = FeedClient(document.changelog, self._changes, config.seed)
+        self.changes = ChangeLog(document.names, self)
+        self._feed = FeedClient(document.changelog, self.changes, config.seed)
+        self.change_source: ChangeSource = self._feed  # another may take its place before the start
         self._stopping = asyncio.Event()
         self._limits = _Limits(document.limits, self.engine, self._front, self._pool)
         self._claim: Claim | None = None
@@ -195,10 +196,12 @@
         ]  # fmt: skip
 
     def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None:
+        """Stores have come, changed or gone; all but a ``DELTA`` is the whole list."""
         self.engine.list_changed(kind, version, members)
         self._pool.list_changed(members, whole=kind != api.ListKind.DELTA)
 
     def purged(self, key: str, group: int, made_us: int) -> None:
+        """An object (16 hex digits), or with no key a group, was purged at this Unix microsecond."""
         self.engine.purged(key, group, made_us)
 
     def start(self) -> None:
@@ -208,7 +211,7 @@
 
     def _open(self) -> None:
         """All that comes before clients do."""
-        self._changes.known(self._known)
+        self.changes.known(self._known)
         self._known = {}
         self.engine.flush()
         if self.document.console is not None:
@@ -219,7 +222,7 @@
             self.look_round()
             self._door = Door(self.lifecycle, self.calls, self.worded)
             self._door.open(self.document.console)
-        self._feed.start()
+        self.change_source.start()
 
     def _listen(self) -> None:
         """Take clients. Where operators can ask for us, we may replace another process, and be replaced: both
@@ -241,7 +244,7 @@
         self.look_round()
         if state == State.SERVING:
             pairs = {"version": self.version} if self.version else {}
-            log.info("ready", extra=fields(name=self.document.name, seq=self._changes.last, **pairs))
+            log.info("ready", extra=fields(name=self.document.name, seq=self.changes.last, **pairs))
         if self.lifecycle.emptying:
             log.info("emptying", extra=fields(state=state.value, open=self.engine.open_requests))
             self._front.announce_end()
@@ -290,8 +293,8 @@
         try:
             self._open()
             if self._claim is not None and self._claim.another_lives:
-                told = await self._feed.caught_up(CATCH_UP_S)
-                log.info("replacing another process", extra=fields(caught_up=told, seq=self._changes.last))
+                told = await self.change_source.caught_up(CATCH_UP_S)
+                log.info("replacing another process", extra=fields(caught_up=told, seq=self.changes.last))
             if self.ending:  # it was told to before it took anything: nothing is owed
                 tidying.cancel()
                 return self.close()
@@ -330,7 +333,7 @@
         if self._claim is not None:
             self._claim.close()
             self._claim = None  # it knows of nobody now: what is asked later must not pass for "alone again"
-        self._feed.stop()
+        self.change_source.stop()
         self._pool.close_all()
 
     async def _tidy(self) -> None:
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -31,6 +31,26 @@
     def purged(self, key: str, group: int, made_us: int) -> None: ...
 
 
+class ChangeSource(Protocol):
+    """Where a router hears of changes from: ``feed.client.FeedClient``, or what is put in its place as
+    ``EdgeRouter.change_source`` before the start. It tells them on the router's event loop, to the router as
+    a ``Listener``, or as events to ``EdgeRouter.changes``, a ``ChangeLog``, with ``log_due`` after each
+    batch."""
+
+    def start(self) -> None:
+        """Begin to tell; what the configuration knows was applied before. Must not wait."""
+        ...
+
+    def stop(self) -> None:
+        """Tell nothing more and give back all that is held; may be called again, and without a start."""
+        ...
+
+    async def caught_up(self, within_s: float) -> bool:
+        """Wait, so many seconds at most, until all is told that there was to tell; whether it is. Asked where
+        the router replaces another process, before it takes clients."""
+        ...
+
+
 class ChangeLog:
     """Follows the log: each event once, none skipped while it can still be had."""
 
--- /dev/null
+++ b/tests/real/test_change_source.py
@@ -0,0 +1,90 @@
+"""A router that hears of changes from another source than its change log."""
+
+import asyncio
+import tempfile
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from magpieshift.app import CATCH_UP_S, EdgeRouter
+from magpieshift.claim import Claim
+from magpieshift.clock import source as clock
+from magpieshift.core.model import store_number
+from magpieshift.feed.changes import ChangeSource
+from molecleat.interface import ListKind, Phase
+from tests.real.exchange import Within, free_port
+from tests.real.test_endings import ASK, CACHE_DATA, READY, READY_ASKED, SERVED
+
+KEY = "7f3a9c21e0b4d655"
+BOUNDED = r'cache< "ASK 0000000000000001 class=picture," /[^\r]*/ ",fresh=" /[1-9]\d*/ " 0\r\n\r\n"'
+ORIGIN_ASKED = r'origin< "ASK 0000000000000002 class=picture," /[^\r]*\r\n\r\n/'
+
+
+class Source(ChangeSource):
+    """Tells what the test tells it, and notes what it is asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.all_told = asyncio.Event()
+
+    def start(self) -> None:
+        self.asked.append("start")
+
+    def stop(self) -> None:
+        self.asked.append("stop")
+
+    async def caught_up(self, within_s: float) -> bool:
+        self.asked.append(f"caught up within {within_s}")
+        await self.all_told.wait()
+        return True
+
+
+def drain(router: EdgeRouter, ident: str) -> None:
+    """Tell the router that a store drains."""
+    member = router.engine._members[store_number(ident)]
+    draining = replace(member, entry=replace(member.entry, phase=Phase.DRAINING))
+    router.list_changed(ListKind.DELTA, 2, [draining])
+
+
+class Sources(unittest.IsolatedAsyncioTestCase):
+    async def test_what_it_tells_is_heeded_and_the_change_log_is_not_read(self) -> None:
+        within, source = Within(), Source()
+        within.router.change_source = source
+        within.listeners["log"].setblocking(False)
+        async with within:
+            self.assertEqual(source.asked, ["start"])
+            within.router.purged(KEY, 0, clock.unix_us() - 1_000_000)
+            await within.play(
+                f"client+\nclient> {ASK[1]}\ncache+\n{BOUNDED}\ncache> {CACHE_DATA}\nclient< {SERVED}"
+            )
+            drain(within.router, "s-cache")
+            await within.play(f"client> {ASK[2]}\norigin+\n{ORIGIN_ASKED}")
+            event = '{"seq":3,"invalidate":{"bucket":17,"time":1764576000480}}'
+            within.router.changes.event(event)
+            self.assertEqual(within.router.changes.last, 3)
+            with self.assertRaises(BlockingIOError):
+                within.listeners["log"].accept()
+        self.assertIn("stop", source.asked)
+
+    async def test_a_router_that_replaces_another_waits_for_it(self) -> None:
+        within, source = Within(), Source()
+        within.router.change_source = source
+        within.router.document = replace(within.router.document, console=("127.0.0.1", free_port()))
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(tempfile, "tempdir", folder),
+            mock.patch.object(Claim, "another_lives", True),
+            mock.patch("magpieshift.app.steer_to_second"),
+        ):
+            starting = asyncio.ensure_future(within.__aenter__())
+            await within.until(lambda: f"caught up within {CATCH_UP_S}" in source.asked)
+            with self.assertRaises(ConnectionRefusedError):
+                within.act("client+")
+            source.all_told.set()
+            await starting
+            await within.play(f"client+\nclient> {READY_ASKED}\nclient< {READY}")
+            await within.__aexit__()
+
+
+if __name__ == "__main__":
+    unittest.main()
