--- a/magpieshift/relay/messages.py
+++ b/magpieshift/relay/messages.py
@@ -83,7 +83,7 @@
 
     epoch: Epoch
     applied: int
-    stores: str  # a whole list, as ``StoreChange.fleet`` with ``complete``; empty if none was told yet
+    stores: str  # as ``StoreChange.fleet``, ``complete`` once a complete list was told; empty if nothing was
     purges: tuple[Purge, ...]
     configuration: ConfigurationChange | None  # whole
 
@@ -97,6 +97,7 @@
     epoch: Epoch  # NO_EPOCH where it has nothing
     applied: int
     configuration: str  # digest of the version in force
+    heard: Epoch = NO_EPOCH  # the highest it has heard of: a source of a lower one ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +115,7 @@
     behind: tuple[str, ...] = ()  # of a relay: names of some followers without the newest version
     behind_count: int = 0
     followers: int = 0  # of a relay
+    released: bool = False  # this process has given up its lease for good, as it ends: it counts no more
 
 
 ToFollower = Batch | Snapshot | ConfigurationChange
