--- a/magpieshift/relay/currency.py
+++ b/magpieshift/relay/currency.py
@@ -35,10 +35,15 @@
         self._probes: dict[int, int] = {}  # when each probe of this stream was sent
         self._pending: deque[_Pending] = deque(maxlen=MOST_PROBES)
         self._released = False
+        self.rests_on_stream = False  # whether its lease is by a proof of the present stream
 
     def new_stream(self) -> None:
-        """Probes are numbered anew: none that was sent before can be answered on the new stream."""
+        """Probes are numbered anew: none that was sent before can be answered on the new stream. Proofs that
+        have not counted yet count no more, so that from the first one on this stream that makes the process
+        more current, its lease rests on this stream alone."""
         self._probes.clear()
+        self._pending.clear()
+        self.rests_on_stream = False
 
     def probe_sent(self, number: int, now_us: int) -> None:
         """A probe is about to be sent on this stream. Only the last ``MOST_PROBES`` are remembered."""
@@ -90,7 +95,8 @@
         waiting = []
         for pending in self._pending:
             if pending.epoch == epoch and pending.head <= sequence:
-                self.current_to_us = _later(self.current_to_us, pending.current_to_us)
+                if self.current_to_us is None or pending.current_to_us > self.current_to_us:
+                    self.current_to_us, self.rests_on_stream = pending.current_to_us, True
                 self._epoch_current_to_us = _later(self._epoch_current_to_us, pending.current_to_us)
             elif pending.epoch >= epoch:
                 waiting.append(pending)
@@ -100,16 +106,18 @@
 class SourceCurrency:
     """The currency of a source, by its reading of the change log.
 
-    A source that was paused and wakes may answer probes before it reads what waits in its socket. So its age
-    counts from the last reading that left nothing unread, on a connection known to be alive.
+    A source that was paused and wakes may answer probes before it reads what waits in its socket; and an empty
+    socket says nothing while the network holds back what was sent. So when something is read, an event or the
+    log's comment that it is alive, the source is current to the last moment before at which the socket was
+    seen empty: what was read now arrived after that, and everything sent earlier came before it.
     """
 
     def __init__(self) -> None:
         self._read_us: int | None = None
 
     def read_all(self, before_us: int) -> None:
-        """Everything that had arrived is read and appended; ``before_us`` is the clock from before the
-        reading that found nothing more."""
+        """Something was read, and all of it is appended. ``before_us``: the last moment before at which the
+        socket was seen empty. An empty socket alone is no reading."""
         self._read_us = _later(self._read_us, before_us)
 
     def age_us(self, now_us: int) -> int | None:
--- a/magpieshift/relay/limits.py
+++ b/magpieshift/relay/limits.py
@@ -4,7 +4,7 @@
 
 LEASE_US = 8_000_000  # how old a follower's currency may be, and the age of copies it accepts beyond that
 PURGE_BOUND_US = 9_700_000  # from a purge's acceptance by the change log until it is done everywhere
-CLOCK_DRIFT = 0.001  # by how much the rates of two monotonic clocks may differ
+CLOCK_DRIFT = 0.001  # the greatest difference between the rates of any two machines' clocks
 LAPSE_MARGIN_US = 20_000  # on top of the drift before a lease counts as lapsed: rounding, second-order drift
 
 PROBE_US = 500_000  # a follower acknowledges and probes so often
@@ -12,7 +12,9 @@
 BATCH_US = 250_000  # entries wait for others so long; probes are answered within it
 HEARTBEAT_US = 1_000_000  # something is sent so often: two may be lost before ``SILENCE_US``
 SILENCE_US = 2_000_000  # a follower that hears nothing for so long tries another relay
-FOLLOWER_SILENCE_US = LEASE_US  # a stream on which nothing was heard for so long is ended: it counts no more
+FOLLOWER_SILENCE_US = 4_000_000  # a stream on which no probe came for so long is ended: half a lease is left
+STALE_US = 5_000_000  # who has not become more current for so long tries another relay: 3 s of lease are left
+UNFIT_US = 5_000_000  # who is less current than this sends its followers elsewhere: 3 s of lease are left
 PAUSE_US = 1_000_000  # who was not called for so long was paused itself, and does not blame the other side
 
 WINDOW_BATCHES = 8  # unacknowledged batches of a follower: 2 s at ``BATCH_US``, four acknowledgements
@@ -22,13 +24,13 @@
 MOST_PROBES = 64  # sent and remembered: 32 s at ``PROBE_US``, by which every lease has lapsed
 MOST_BEHIND_NAMES = 16  # listed in a report
 
-SNAPSHOTS_PER_S = 40  # of one relay: 480 followers in 12 s, at half a megabyte 20 MB/s
+SNAPSHOTS_PER_S = 60  # of one relay: 480 followers within a lease
 SNAPSHOT_REUSED_US = 1_000_000  # one snapshot and the entries after it serve all who need one within this
-PURGES_KEPT_US = 60_000_000  # in snapshots: above twice the longest time in which caches drop purged copies
-MOST_PURGES = 66_000  # in snapshots: ``PURGES_KEPT_US`` at ten times 110 a second
+PURGES_KEPT_US = 30_000_000  # in snapshots: above twice the longest time in which caches drop purged copies
+MOST_PURGES = 33_000  # in snapshots: ``PURGES_KEPT_US`` at ten times 110 a second
 
 RETURN_LEAST_S, RETURN_MOST_S = 30.0, 90.0  # until a follower goes back to a better relay, drawn anew
-FAILOVER_FIRST_S, FAILOVER_MOST_S = 0.2, 5.0  # jittered pauses before the next relay
+FAILOVER_FIRST_S, FAILOVER_MOST_S = 0.2, 10.0  # jittered pauses before the next relay
 
 
 def lapse_us(lease_us: int = LEASE_US) -> int:
--- a/magpieshift/relay/messages.py
+++ b/magpieshift/relay/messages.py
@@ -59,6 +59,7 @@
     first: int  # sequence number of the first entry; where there is none, of the next to come
     entries: tuple[Entry, ...]
     proof: Proof | None  # absent while the sender has not yet passed on all it has
+    waiting: bool = False  # of a heartbeat: a snapshot is needed, and follows when it is its turn
 
     @property
     def last(self) -> int:
@@ -115,7 +116,9 @@
     behind: tuple[str, ...] = ()  # of a relay: names of some followers without the newest version
     behind_count: int = 0
     followers: int = 0  # of a relay
-    released: bool = False  # this process has given up its lease for good, as it ends: it counts no more
+    released: bool = (
+        False  # it holds no lease by what was proven on this stream, and takes none: it counts no more
+    )
 
 
 ToFollower = Batch | Snapshot | ConfigurationChange
