Relay: hold the state machines to their hard cases

Lost acknowledgements, the reverse cut, new epochs, new lives, acknowledgements of what was not sent, slow followers, dropped tails, paused relays and planned moves each have a test.

--- a/magpieshift/relay/currency.py
+++ b/magpieshift/relay/currency.py
@@ -106,10 +106,11 @@
 class SourceCurrency:
     """The currency of a source, by its reading of the change log.
 
-    A source that was paused and wakes may answer probes before it reads what waits in its socket; and an empty
-    socket says nothing while the network holds back what was sent. So when something is read, an event or the
-    log's comment that it is alive, the source is current to the last moment before at which the socket was
-    seen empty: what was read now arrived after that, and everything sent earlier came before it.
+    A source that was paused and wakes may answer probes before it reads what waits in its socket; and an
+    empty socket says nothing while the network holds back what was sent. So when something is read, an
+    event or the log's comment that it is alive, the source is current to the last moment before at which
+    the socket was seen empty: what was read now arrived after that, and everything sent earlier came before
+    it.
     """
 
     def __init__(self) -> None:
--- a/magpieshift/relay/fanout.py
+++ b/magpieshift/relay/fanout.py
@@ -94,6 +94,8 @@
             raise Superseded(progress.epoch)
         to.heard_us = to.place.heard_us = now_us
         to.place.last = progress
+        elsewhere = progress.followers > 0 and progress.epoch != self._epoch
+        to.place.lags = elsewhere or progress.done < progress.applied
         if progress.probe > to.probe:
             to.probe, to.probe_us = progress.probe, now_us
         to.want_whole = to.want_whole or progress.want_whole
--- a/magpieshift/relay/watermark.py
+++ b/magpieshift/relay/watermark.py
@@ -24,16 +24,16 @@
     stream: int | None = None
     applied: int = 0  # what it has acknowledged in this epoch
     done: int = 0  # the same of it and all that follow it
-    floor: int = 0  # without having applied this much, no proof sent in this unbroken lease holds
+    floor: int = 0  # without having applied this much, it holds no lease by the proofs since its last lapse
+    lags: bool = False  # some that follow it may hold leases by what it had earlier: the floor is not theirs
     counts_until_us: int | None = None  # by then its lease has surely lapsed; None: it has none
     last: Progress | None = None
     disbelieved: int = 0  # acknowledgements of what it had not been sent
 
     @property
     def value(self) -> int:
-        """Up to where it has applied everything, if it holds a lease. A relay that says that a follower of
-        its lags is believed as it is: that one may hold a lease by proofs of an earlier epoch."""
-        return self.done if self.done < self.applied else max(self.done, self.floor)
+        """Up to where it and all that follow it have applied everything, if they hold a lease."""
+        return self.done if self.lags else max(self.done, self.floor)
 
     def counts(self, now_us: int) -> bool:
         """Whether a proof sent to it may still hold."""
--- /dev/null
+++ b/tests/relay/pieces.py
@@ -0,0 +1,104 @@
+"""A serving process and its followers, joined by hand: what one sends the other gets, or a test loses it."""
+
+from __future__ import annotations
+
+from magpieshift.relay.fanout import Fanout
+from magpieshift.relay.follower import Apply, Effect, EndStream, Follower, TakeSnapshot
+from magpieshift.relay.log import SequencedLog
+from magpieshift.relay.messages import Batch, ConfigurationChange, Entry, Epoch, Proof, Purge, ToFollower
+from magpieshift.relay.snapshot import State
+
+MS, SECOND = 1_000, 1_000_000
+EPOCH, LATER = Epoch(1, 5), Epoch(2, 3)
+TICK_US = 50 * MS
+
+
+def purge(number: int, made_us: int = 0) -> Purge:
+    return Purge(f"{number:x}", 0, made_us)
+
+
+def whole_only(newest: ConfigurationChange | None, change: ConfigurationChange) -> None:
+    """For a state that never can put a delta together."""
+    return None
+
+
+class Server:
+    """A source or relay with a log, and as current as a test says."""
+
+    def __init__(self, epoch: Epoch = EPOCH, most: int = 10_000, counts_from_us: int = 0) -> None:
+        self.log, self.state = SequencedLog(epoch, most=most), State(whole_only)
+        self.age_us: int | None = 0
+        self.fanout = Fanout(self.log, self.state, lambda now_us: self.age_us, counts_from_us=counts_from_us)
+
+    def add(self, count: int = 1, now_us: int = 0) -> None:
+        for _ in range(count):
+            self.put(purge(self.log.head + 1), now_us)
+
+    def put(self, entry: Entry, now_us: int = 0) -> None:
+        self.log.append(entry)
+        self.state.fold(entry, now_us)
+
+
+class Client:
+    """A router that notes what it applied, in order."""
+
+    def __init__(self, name: str = "r", boot: str = "b1") -> None:
+        self.follower = Follower(name, boot)
+        self.applied: list[Entry] = []
+        self.ended: EndStream | None = None
+
+    def join(self, server: Server, stream: int, now_us: int) -> None:
+        self.ended = None
+        server.fanout.join(stream, self.follower.connect(now_us), now_us)
+
+    def take(self, messages: list[ToFollower], now_us: int) -> None:
+        for message in messages:
+            for effect in self.follower.receive(message, now_us):
+                self.carry_out(effect)
+
+    def carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Apply():
+                self.applied += effect.entries
+                self.follower.applied_up_to(effect.epoch, effect.last)
+            case TakeSnapshot(snapshot):
+                self.applied = list(snapshot.purges)
+                self.follower.applied_up_to(snapshot.epoch, snapshot.applied)
+            case EndStream():
+                self.ended = effect
+
+    def leased(self, now_us: int) -> bool:
+        return self.follower.currency.lease_held(now_us)
+
+
+def exchange(
+    server: Server, stream: int, client: Client, now_us: int, up: bool = True, down: bool = True
+) -> list[ToFollower]:
+    """One turn of both drivers; what goes up or down may be lost. Returns what was sent down."""
+    progress = client.follower.progress(now_us)
+    if progress is not None and up:
+        server.fanout.progress(stream, progress, now_us)
+    messages = server.fanout.send(stream, now_us) if server.fanout.due_us(stream) <= now_us else []
+    if down:
+        client.take(messages, now_us)
+    client.ended = client.ended or client.follower.check(now_us)
+    return messages
+
+
+def run(
+    server: Server,
+    clients: dict[int, Client],
+    from_us: int,
+    for_us: int,
+    up: bool = True,
+    down: bool = True,
+) -> int:
+    """Turns of all until the end; returns the time after them."""
+    for now_us in range(from_us, from_us + for_us, TICK_US):
+        for stream, client in clients.items():
+            exchange(server, stream, client, now_us, up, down)
+    return from_us + for_us
+
+
+def proofs(messages: list[ToFollower]) -> list[Proof]:
+    return [message.proof for message in messages if isinstance(message, Batch) and message.proof]
--- /dev/null
+++ b/tests/relay/test_fanout.py
@@ -0,0 +1,390 @@
+"""The serving side: what is sent, who counts, and what happens when followers fail."""
+
+from __future__ import annotations
+
+import unittest
+
+from magpieshift.relay.fanout import Superseded, Unfit, UnknownStream
+from magpieshift.relay.follower import Reason
+from magpieshift.relay.limits import (
+    BATCH_US,
+    FOLLOWER_SILENCE_US,
+    HEARTBEAT_US,
+    LEASE_US,
+    MOST_BATCH_ENTRIES,
+    PROBE_US,
+    SNAPSHOTS_PER_S,
+    UNFIT_US,
+    WINDOW_BATCHES,
+    lapse_us,
+)
+from magpieshift.relay.messages import (
+    NO_EPOCH,
+    Batch,
+    ConfigurationChange,
+    Epoch,
+    Join,
+    Progress,
+    Snapshot,
+)
+from tests.relay.pieces import (
+    EPOCH,
+    LATER,
+    MS,
+    SECOND,
+    Client,
+    Server,
+    exchange,
+    proofs,
+    purge,
+    run,
+)
+
+
+def joined(name: str = "r", applied: int = 0, epoch: Epoch = EPOCH, boot: str = "b1") -> Join:
+    return Join(name, boot, epoch, applied, "")
+
+
+def heard(applied: int, probe: int, epoch: Epoch = EPOCH, done: int | None = None) -> Progress:
+    return Progress(epoch, applied, probe, applied if done is None else done, "")
+
+
+class Sending(unittest.TestCase):
+    def setUp(self) -> None:
+        self.server, self.client = Server(), Client()
+        self.server.add(3)
+        self.client.join(self.server, 1, 0)
+
+    def test_a_new_follower_gets_a_snapshot_and_then_entries_in_order(self) -> None:
+        run(self.server, {1: self.client}, 0, SECOND)
+        for number in range(4, 40):
+            self.server.add()
+            run(self.server, {1: self.client}, number * SECOND, SECOND)
+        self.assertEqual(self.client.applied, [purge(number) for number in range(1, 40)])
+        self.assertEqual(self.server.fanout.done(40 * SECOND), 39)
+        self.assertTrue(self.client.leased(40 * SECOND))
+
+    def test_entries_wait_for_others_no_longer_than_a_batch_time(self) -> None:
+        now_us = run(self.server, {1: self.client}, 0, SECOND)
+        self.server.add()
+        self.assertLessEqual(self.server.fanout.due_us(1), now_us, "the first does not wait at all")
+        exchange(self.server, 1, self.client, now_us)
+        self.server.add(5)
+        self.assertEqual(self.server.fanout.due_us(1), now_us + BATCH_US)
+        self.assertEqual(self.server.fanout.send(1, now_us + BATCH_US - 1), [])
+        sent = self.server.fanout.send(1, now_us + BATCH_US)
+        self.assertEqual([len(batch.entries) for batch in sent if isinstance(batch, Batch)], [5])
+
+    def test_a_probe_is_answered_within_a_batch_time_and_silence_is_broken_by_heartbeats(self) -> None:
+        now_us = run(self.server, {1: self.client}, 0, SECOND)
+        sent_us = [t for t in range(now_us, now_us + 5 * SECOND, MS)
+                   if exchange(self.server, 1, self.client, t, up=False)]  # fmt: skip
+        gaps = [later - earlier for earlier, later in zip(sent_us, sent_us[1:], strict=False)]
+        self.assertEqual(set(gaps), {HEARTBEAT_US})
+        at_us = sent_us[-1] + 10 * MS
+        self.server.fanout.progress(1, heard(3, 99), at_us)
+        self.assertEqual(self.server.fanout.due_us(1), sent_us[-1] + BATCH_US)
+        self.assertEqual(
+            [proof.probe for proof in proofs(self.server.fanout.send(1, at_us + BATCH_US))], [99]
+        )
+
+    def test_no_proof_before_a_probe_nor_while_anything_is_still_to_be_sent(self) -> None:
+        server = Server(most=10 * WINDOW_BATCHES * MOST_BATCH_ENTRIES)
+        server.add(3 * WINDOW_BATCHES * MOST_BATCH_ENTRIES)
+        server.fanout.join(1, joined(), 0)
+        first = server.fanout.send(1, 0)
+        self.assertEqual([len(b.entries) for b in first if isinstance(b, Batch)],
+                         [MOST_BATCH_ENTRIES] * WINDOW_BATCHES)  # fmt: skip
+        server.fanout.progress(1, heard(0, 1), 0)
+        self.assertEqual(proofs(server.fanout.send(1, HEARTBEAT_US)), [])
+        applied = 0
+        while applied < server.log.head:
+            self.assertEqual(server.fanout.done(SECOND), server.log.head, "nobody counts yet")
+            applied += MOST_BATCH_ENTRIES
+            server.fanout.progress(1, heard(applied, 2), SECOND)
+            sent = server.fanout.send(1, SECOND)
+            if found := proofs(sent):
+                break
+        self.assertEqual([proof.head for proof in found], [server.log.head])
+        self.assertEqual(sent[-1], Batch(EPOCH, sent[-1].first, sent[-1].entries, found[0]))  # type: ignore[union-attr]
+
+    def test_a_process_passes_its_own_age_on_and_proves_nothing_where_it_has_none(self) -> None:
+        now_us = run(self.server, {1: self.client}, 0, SECOND)
+        self.server.age_us = 3 * SECOND
+        self.server.fanout.progress(1, heard(3, 50), now_us)
+        (proof,) = proofs(self.server.fanout.send(1, now_us + SECOND))
+        self.assertAlmostEqual(proof.age_us, 3 * SECOND, delta=1)
+        for age_us in (None, LEASE_US, 10 * LEASE_US):
+            self.server.age_us = age_us
+            now_us += SECOND
+            self.server.fanout.progress(1, heard(3, 51 + now_us), now_us)
+            sent = self.server.fanout.send(1, now_us + BATCH_US)
+            self.assertEqual((len(sent), proofs(sent)), (1, []))
+
+    def test_entries_not_yet_visible_make_a_proof_older_instead_of_wrong(self) -> None:
+        now_us = run(self.server, {1: self.client}, 0, 2 * SECOND)
+        self.server.add()
+        self.server.fanout.send(1, now_us)
+        self.server.add()
+        self.server.fanout.progress(1, heard(4, 50), now_us + 100 * MS)
+        self.assertEqual(self.server.fanout.send(1, now_us + BATCH_US - 1), [], "it is not due")
+        self.server.fanout._streams[1].sent_us = 0  # as if it were due before the entry becomes visible
+        (proof,) = proofs(self.server.fanout.send(1, now_us + 200 * MS))
+        self.assertEqual(proof.head, 4)
+        self.assertGreaterEqual(proof.age_us, 200 * MS)
+
+    def test_a_whole_configuration_is_sent_on_request_once_it_is_known(self) -> None:
+        now_us = run(self.server, {1: self.client}, 0, SECOND)
+        self.server.put(ConfigurationChange(2, "d2", "d1", b"delta"))
+        self.client.follower.want_whole = True
+        now_us = run(self.server, {1: self.client}, now_us, SECOND)
+        self.assertTrue(self.client.follower.want_whole, "this process does not know it either")
+        self.server.state.take_configuration(ConfigurationChange(2, "d2", "", b"whole"))
+        run(self.server, {1: self.client}, now_us, PROBE_US)
+        self.assertFalse(self.client.follower.want_whole)
+
+
+class Windows(unittest.TestCase):
+    def test_a_slow_follower_costs_its_window_and_holds_up_nobody(self) -> None:
+        server, slow, quick = Server(most=2_000), Client("slow"), Client("quick")
+        for stream, client in ((1, slow), (2, quick)):
+            client.join(server, stream, 0)
+        now_us = run(server, {1: slow, 2: quick}, 0, SECOND)
+        batches = 0
+        for _ in range(300):
+            now_us += BATCH_US
+            server.add(20, now_us)
+            exchange(server, 2, quick, now_us)
+            if now_us < 4 * SECOND:  # then it is silent
+                server.fanout.progress(1, heard(0, now_us), now_us)
+            sent = server.fanout.send(1, now_us)
+            batches += sum(1 for message in sent if isinstance(message, Batch) and message.entries)
+        self.assertEqual(batches, WINDOW_BATCHES)
+        self.assertEqual(quick.applied, [purge(number) for number in range(1, server.log.head + 1)])
+        self.assertGreater(server.fanout.done(now_us), server.log.head - 100, "it counts no more")
+        self.assertIn(1, server.fanout.silent(now_us))
+        self.assertNotIn(2, server.fanout.silent(now_us))
+
+    def test_a_dropped_tail_is_made_good_by_a_snapshot(self) -> None:
+        server, client = Server(most=50), Client()
+        client.join(server, 1, 0)
+        now_us = run(server, {1: client}, 0, SECOND)
+        server.fanout.leave(1, now_us)
+        server.add(1_000, now_us)
+        client.join(server, 2, now_us)
+        sent = exchange(server, 2, client, now_us)
+        self.assertEqual([type(message) for message in sent], [Snapshot])
+        self.assertEqual(client.applied, [purge(number) for number in range(1, 1_001)])
+        run(server, {2: client}, now_us, SECOND)
+        self.assertEqual(client.follower.applied, 1_000)
+        self.assertTrue(client.leased(now_us + SECOND))
+
+    def test_snapshots_go_at_a_bounded_rate_and_one_that_does_not_read_holds_up_nobody(self) -> None:
+        server = Server()
+        server.add(5)
+        count = 3 * SNAPSHOTS_PER_S
+        for stream in range(count):
+            server.fanout.join(stream, joined(f"r{stream}", epoch=NO_EPOCH), 0)
+        times: dict[int, int] = {}
+        for now_us in range(0, 5 * SECOND, MS):
+            for stream in server.fanout.due(now_us):
+                if stream % 10:  # one of ten does not read
+                    sent = server.fanout.send(stream, now_us)
+                    waiting = [message.waiting for message in sent if isinstance(message, Batch)]
+                    if any(isinstance(message, Snapshot) for message in sent):
+                        self.assertNotIn(stream, times)
+                        times[stream] = now_us
+                    elif now_us < times.get(stream, 5 * SECOND):
+                        self.assertTrue(all(waiting))
+        self.assertEqual(len(times), count * 9 // 10)
+        for from_us in times.values():
+            within = [at for at in times.values() if from_us <= at < from_us + SECOND]
+            self.assertLessEqual(len(within), SNAPSHOTS_PER_S + 1)
+        self.assertLessEqual(max(times.values()), 4 * SECOND)
+
+
+class Watermarks(unittest.TestCase):
+    """Who counts. The follower ``r`` has applied 3 of 3 and holds a lease at ``self.now_us``."""
+
+    def setUp(self) -> None:
+        self.server, self.client = Server(), Client()
+        self.server.add(3)
+        self.client.join(self.server, 1, 0)
+        self.now_us = run(self.server, {1: self.client}, 0, 2 * SECOND)
+        self.assertEqual(self.done(), 3)
+
+    def done(self, after_us: int = 0) -> int:
+        return self.server.fanout.done(self.now_us + after_us)
+
+    def test_lost_acknowledgements_hold_the_watermark_until_the_lease_has_lapsed(self) -> None:
+        self.server.add()
+        now_us = self.now_us
+        while self.server.fanout.done(now_us) < 4:
+            exchange(self.server, 1, self.client, now_us, up=False)
+            now_us += 10 * MS
+        self.assertEqual(self.client.follower.applied, 4, "it hears")
+        self.assertFalse(self.client.leased(now_us), "but proofs of what it asked long ago prove nothing new")
+        self.assertLessEqual(now_us, self.now_us + lapse_us() + 10 * MS)
+
+    def test_the_reverse_cut_is_no_different_and_the_follower_leaves(self) -> None:
+        self.server.add()
+        now_us = run(self.server, {1: self.client}, self.now_us, 3 * SECOND, down=False)
+        self.assertEqual((self.server.fanout.done(now_us), self.client.follower.applied), (3, 3))
+        self.assertEqual(self.client.ended and self.client.ended.reason, Reason.SILENCE)
+        self.server.fanout.leave(1, now_us)
+        self.assertTrue(self.client.leased(now_us))
+        self.assertEqual(self.server.fanout.done(now_us), 3, "it counts without a stream")
+        while self.client.leased(now_us):
+            self.assertEqual(self.server.fanout.done(now_us), 3)
+            now_us += 10 * MS
+        self.assertEqual(self.server.fanout.done(now_us + lapse_us()), 4)
+
+    def test_an_acknowledgement_of_what_was_not_sent_is_not_believed(self) -> None:
+        self.server.add(5)
+        self.server.fanout.progress(1, heard(8, 90), self.now_us)
+        self.assertEqual(self.done(), 3)
+        self.server.fanout.progress(1, heard(8, 91, epoch=Epoch(0, 9)), self.now_us)
+        self.assertEqual(self.done(), 3)
+        (status,) = self.server.fanout.status(self.now_us)
+        self.assertEqual((status.applied, status.behind, status.counts, status.disbelieved), (3, 5, True, 1))
+
+    def test_a_new_life_takes_a_new_place_and_the_old_one_counts_until_it_has_lapsed(self) -> None:
+        self.server.fanout.leave(1, self.now_us)
+        self.server.add()
+        twin = Client(boot="b2")
+        twin.join(self.server, 2, self.now_us)
+        run(self.server, {2: twin}, self.now_us, 2 * SECOND)
+        self.assertEqual((twin.follower.applied, self.done(2 * SECOND)), (4, 3))
+        self.assertTrue(self.client.leased(self.now_us + 2 * SECOND), "it may be paused and not killed")
+        self.assertEqual(self.done(lapse_us()), 4)
+
+    def test_a_follower_that_acknowledged_and_was_killed_counts_by_what_its_new_life_has(self) -> None:
+        self.server.fanout.leave(1, self.now_us)
+        twin = Client(boot="b2")
+        twin.join(self.server, 2, self.now_us)
+        exchange(self.server, 2, twin, self.now_us, down=False)
+        self.assertEqual(self.server.fanout.status(self.now_us)[1].applied, 0)
+
+    def test_the_same_life_on_another_stream_takes_its_place_over(self) -> None:
+        self.server.add()
+        join = self.client.follower.connect(self.now_us)
+        self.assertEqual(self.server.fanout.join(2, join, self.now_us), 1, "the stream to be ended")
+        with self.assertRaises(UnknownStream):
+            self.server.fanout.progress(1, heard(4, 99), self.now_us)
+        self.assertEqual(self.done(), 3)
+        run(self.server, {2: self.client}, self.now_us, SECOND)
+        self.assertEqual((self.done(SECOND), len(self.server.fanout.status(self.now_us))), (4, 1))
+
+    def test_who_gives_up_its_lease_counts_no_more_and_is_proven_nothing(self) -> None:
+        self.server.add()
+        self.server.fanout.progress(1, self.client.follower.release(self.now_us), self.now_us)
+        self.assertEqual(self.done(), 4)
+        self.assertEqual(proofs(self.server.fanout.send(1, self.now_us + HEARTBEAT_US)), [])
+        self.assertEqual(self.done(HEARTBEAT_US), 4)
+
+    def test_a_planned_move_does_not_hold_up_the_relay_it_leaves(self) -> None:
+        better = Server()
+        better.add(3)
+        self.client.join(better, 7, self.now_us)
+        self.server.add()
+        with self.assertRaises(ValueError):
+            self.client.follower.farewell()
+        now_us = run(better, {7: self.client}, self.now_us, SECOND)
+        self.assertEqual(self.server.fanout.done(now_us), 3)
+        self.server.fanout.progress(1, self.client.follower.farewell(), now_us)
+        self.assertEqual(self.server.fanout.done(now_us), 4)
+        better.add()
+        self.assertEqual(better.fanout.done(now_us), 3, "there it counts")
+
+    def test_a_relay_counts_by_what_all_its_followers_have(self) -> None:
+        self.server.fanout.join(5, joined("relay", applied=3), self.now_us)
+        self.server.fanout.progress(5, heard(3, 1, done=2), self.now_us)
+        self.server.add()
+        self.server.fanout.send(5, self.now_us)
+        run(self.server, {1: self.client}, self.now_us, 2 * SECOND)
+        self.server.fanout.progress(5, heard(4, 2, done=2), self.now_us)
+        self.assertEqual(self.done(2 * SECOND), 3, "it never goes back")
+        self.server.fanout.progress(5, heard(4, 3, done=4), self.now_us)
+        self.assertEqual(self.done(2 * SECOND), 4)
+
+    def test_after_a_restart_nothing_is_done_while_leases_of_the_source_before_may_hold(self) -> None:
+        new = Server(LATER, counts_from_us=self.now_us + lapse_us())
+        new.add(2)
+        self.assertEqual(new.fanout.done(self.now_us + lapse_us() - 1), 0)
+        self.assertFalse(self.client.leased(self.now_us + lapse_us()))
+        self.assertEqual(new.fanout.done(self.now_us + lapse_us()), 2)
+
+    def test_a_relay_that_turns_to_another_epoch_counts_those_that_have_not(self) -> None:
+        self.server.log.restart(LATER, 1)  # the last two entries were lost
+        self.assertEqual(self.done(), 0)
+        self.server.fanout.progress(1, heard(3, 90), self.now_us)
+        self.assertEqual(self.done(), 0, "numbers of the epoch before mean nothing")
+        now_us = run(self.server, {1: self.client}, self.now_us, SECOND)
+        self.assertEqual((self.client.follower.epoch, self.client.follower.applied), (LATER, 1))
+        self.assertEqual(self.server.fanout.done(now_us), 1)
+
+    def test_many_lives_leave_nothing_behind(self) -> None:
+        for life in range(200):
+            self.server.fanout.join(100 + life, joined("other", boot=f"x{life}"), self.now_us)
+            self.server.fanout.progress(100 + life, heard(0, 1), self.now_us)
+            self.server.fanout.send(100 + life, self.now_us)
+            self.server.fanout.leave(100 + life, self.now_us)
+        self.assertEqual(self.done(lapse_us()), 3)
+        self.assertLessEqual(len(self.server.fanout.status(self.now_us + lapse_us())), 1)
+
+
+class Refusals(unittest.TestCase):
+    def test_whoever_is_of_a_lower_epoch_learns_of_the_higher(self) -> None:
+        server = Server()
+        for join in (joined(epoch=LATER), Join("r", "b", EPOCH, 0, "", heard=LATER)):
+            with self.assertRaises(Superseded) as raised:
+                server.fanout.join(1, join, 0)
+            self.assertEqual(raised.exception.epoch, LATER)
+        server.fanout.join(1, joined(), 0)
+        with self.assertRaises(Superseded):
+            server.fanout.progress(1, heard(0, 1, epoch=LATER), 0)
+
+    def test_a_relay_that_is_not_current_sends_followers_elsewhere(self) -> None:
+        server = Server()
+        for server.age_us in (None, UNFIT_US):
+            self.assertFalse(server.fanout.fit(0))
+            with self.assertRaises(Unfit):
+                server.fanout.join(1, joined(), 0)
+
+    def test_a_relay_that_was_paused_wakes_with_words_that_prove_what_they_did_before(self) -> None:
+        server, client = Server(), Client()
+        server.add(3)
+        client.join(server, 1, 0)
+        now_us = run(server, {1: client}, 0, SECOND)
+        before_us = client.follower.currency.current_to_us
+        late = server.fanout.send(1, now_us + HEARTBEAT_US)  # made, and held up for 5 s
+        now_us += 5 * SECOND
+        client.take(late, now_us)
+        self.assertEqual(client.follower.currency.current_to_us, before_us)
+        server.age_us = 5 * SECOND  # on waking, its own probe is as old as its pause
+        exchange(server, 1, client, now_us)
+        age_us = client.follower.currency.age_us(now_us)
+        assert age_us is not None
+        self.assertGreaterEqual(age_us, 5 * SECOND)
+        self.assertGreaterEqual(FOLLOWER_SILENCE_US, SECOND)
+
+
+class Reports(unittest.TestCase):
+    def test_who_is_behind_is_listed_by_name_over_all_relays(self) -> None:
+        source = Server()
+        source.put(ConfigurationChange(1, "d1", "", b"whole"))
+        for stream, (name, digest) in enumerate([("a", "d1"), ("b", "d0"), ("c", "")]):
+            source.fanout.join(stream, joined(name), 0)
+            behind = tuple(f"{name}{number}" for number in range(10)) if digest == "d1" else ()
+            source.fanout.progress(
+                stream,
+                Progress(EPOCH, 0, 1, 0, digest, behind=behind, behind_count=len(behind), followers=40),
+                0,
+            )
+        report = source.fanout.report(0)
+        self.assertEqual((report.behind_count, report.followers, report.epoch), (12, 123, EPOCH))
+        self.assertEqual(set(report.behind), {"b", "c", *(f"a{number}" for number in range(10))})
+
+
+if __name__ == "__main__":
+    unittest.main()
