Relay: SIGNATURE: Proof.source_age_us; a relay gives Fanout link_age=epoch_link_age_us

A relay that lost its source must send its followers elsewhere, but one whose source lost its change log must not: no other relay can do better, and configuration versions still come that way. Ages alone do not tell the two apart, so a proof says which part of its age is the source's own, Currency keeps the rest as the age of the link (epoch_link_age_us), and Fanout.fit and Follower.check go by the link. A source that has never read its log proves with UNKNOWN_AGE_US: linked, not current, not counted.

--- a/magpieshift/relay/currency.py
+++ b/magpieshift/relay/currency.py
@@ -23,6 +23,7 @@
     epoch: Epoch
     head: int
     current_to_us: int
+    linked_to_us: int
 
 
 class Currency:
@@ -32,6 +33,8 @@
         self.current_to_us: int | None = None  # by this process's clock; None: never current
         self._position = (NO_EPOCH, 0)
         self._epoch_current_to_us: int | None = None  # the same by proofs of the position's epoch alone
+        self.linked_to_us: int | None = None  # to when it had all that the source had, current or not
+        self._epoch_linked_to_us: int | None = None
         self._probes: dict[int, int] = {}  # when each probe of this stream was sent
         self._pending: deque[_Pending] = deque(maxlen=MOST_PROBES)
         self._released = False
@@ -54,15 +57,17 @@
     def proven(self, epoch: Epoch, proof: Proof) -> None:
         """A proof was received on this stream. One to an unknown probe proves nothing."""
         sent_us = self._probes.get(proof.probe)
-        if sent_us is None or proof.age_us < 0:
+        if sent_us is None or not 0 <= proof.source_age_us <= proof.age_us:
             return
-        self._pending.append(_Pending(epoch, proof.head, sent_us - proof.age_us))
+        current_to_us = sent_us - proof.age_us
+        linked_to_us = current_to_us + proof.source_age_us
+        self._pending.append(_Pending(epoch, proof.head, current_to_us, linked_to_us))
         self._settle()
 
     def applied(self, epoch: Epoch, sequence: int) -> None:
         """Everything up to ``sequence`` of the epoch has been applied. A position never goes back."""
         if epoch > self._position[0]:
-            self._epoch_current_to_us = None
+            self._epoch_current_to_us = self._epoch_linked_to_us = None
         self._position = max(self._position, (epoch, sequence))
         self._settle()
 
@@ -79,6 +84,11 @@
         epoch's proofs need not be in the log that it hands out since: a new source may have lost entries."""
         return None if self._released else _age_us(self._epoch_current_to_us, now_us)
 
+    def epoch_link_age_us(self, now_us: int) -> int | None:
+        """How long ago this process had everything that the source of the present epoch had itself, however
+        far that was behind its change log. None where it never had."""
+        return None if self._released else _age_us(self._epoch_linked_to_us, now_us)
+
     def lease_held(self, now_us: int) -> bool:
         """Whether it is current to less than ``LEASE_US`` ago."""
         age = self.age_us(now_us)
@@ -98,6 +108,8 @@
                 if self.current_to_us is None or pending.current_to_us > self.current_to_us:
                     self.current_to_us, self.rests_on_stream = pending.current_to_us, True
                 self._epoch_current_to_us = _later(self._epoch_current_to_us, pending.current_to_us)
+                self.linked_to_us = _later(self.linked_to_us, pending.linked_to_us)
+                self._epoch_linked_to_us = _later(self._epoch_linked_to_us, pending.linked_to_us)
             elif pending.epoch >= epoch:
                 waiting.append(pending)
         self._pending = deque(waiting, maxlen=MOST_PROBES)
--- a/magpieshift/relay/fanout.py
+++ b/magpieshift/relay/fanout.py
@@ -16,11 +16,11 @@
     BATCH_US,
     FOLLOWER_SILENCE_US,
     HEARTBEAT_US,
-    LEASE_US,
     MOST_BATCH_ENTRIES,
     MOST_FOLLOWERS,
     SNAPSHOT_REUSED_US,
     UNFIT_US,
+    UNKNOWN_AGE_US,
     WINDOW_BATCHES,
     lapse_us,
     stretched,
@@ -46,14 +46,16 @@
         own_age: Callable[[int], int | None],
         done_everywhere: Callable[[], int] | None = None,
         counts_from_us: int = 0,
+        link_age: Callable[[int], int | None] | None = None,
     ) -> None:
         """``own_age`` tells how current the process itself is (``Currency.epoch_age_us`` of a relay,
         ``SourceCurrency.age_us`` of a source). ``done_everywhere`` tells what a relay has heard from its
-        source (``Follower.done``); a source leaves it out. ``counts_from_us``: until then nothing is called
-        done; a source gives ``now_us + lapse_us()`` at its start, since followers of the one before it hold
-        leases."""
+        source (``Follower.done``), and ``link_age`` when it heard of it (``Currency.epoch_link_age_us``); a
+        source leaves them out. ``counts_from_us``: until then nothing is called done; a source gives
+        ``now_us + lapse_us()`` at its start, since followers of the one before it hold leases."""
         self._log, self._state = log, state
-        self._own_age, self._done_everywhere = own_age, done_everywhere
+        self._own_age, self._link_age = own_age, link_age or (lambda now_us: 0)
+        self._done_everywhere = done_everywhere
         self._counts_from_us = counts_from_us
         self._epoch = log.epoch
         self._watermark = Watermark()
@@ -73,7 +75,7 @@
         if newest > self._epoch:
             raise Superseded(newest)
         if not self.fit(now_us):
-            raise Unfit(f"not current within {UNFIT_US} us")
+            raise Unfit(f"the source was not heard of for {UNFIT_US} us")
         if len(self._streams) >= MOST_FOLLOWERS:
             raise Full(f"{MOST_FOLLOWERS} followers are here already")
         place = self._watermark.place(join.name, join.boot, now_us)
@@ -154,10 +156,11 @@
         return messages
 
     def fit(self, now_us: int) -> bool:
-        """Whether this process is current enough to serve. The driver ends all streams where it is not, while
-        its followers have lease left to find another relay."""
-        age_us = self._own_age(now_us)
-        return age_us is not None and age_us < UNFIT_US
+        """Whether this process has heard of its source lately. The driver ends all streams where it has not,
+        while its followers have lease left to find another relay. A source that cannot read its change log is
+        fit: no relay can do better, and configurations still come from it."""
+        link_age_us = self._link_age(now_us)
+        return link_age_us is not None and link_age_us < UNFIT_US
 
     def silent(self, now_us: int) -> list[int]:
         """Streams to be ended, as nothing was heard on them for ``FOLLOWER_SILENCE_US``."""
@@ -201,9 +204,17 @@
         if cut is not None and log.head > cut.head and now_us < cut.made_us + BATCH_US:
             return cut
         made_us = now_us if cut is None or log.head > cut.head else cut.made_us
-        self._cut = cut = Cut(log.head, made_us, now_us, self._own_age(now_us))
+        self._cut = cut = Cut(log.head, made_us, now_us, *self._ages(now_us))
         return cut
 
+    def _ages(self, now_us: int) -> tuple[int | None, int]:
+        """This process's own age, and the part of it that is the source's."""
+        age_us, link_age_us = self._own_age(now_us), self._link_age(now_us)
+        if link_age_us is None:
+            return None, 0
+        age_us = UNKNOWN_AGE_US if age_us is None else age_us
+        return age_us, max(0, age_us - link_age_us)
+
     def _restart(self) -> None:
         self._epoch = self._log.epoch
         self._watermark.restart()
@@ -270,8 +281,7 @@
             return None
         age_us = cut.age_us + stretched(now_us - cut.checked_us)
         until_us = to.probe_us - age_us + lapse_us()
-        if age_us >= LEASE_US or until_us <= now_us:
-            return None
-        self._watermark.proof_sent(to.place, cut.head, until_us, now_us)
+        if until_us > now_us:
+            self._watermark.proof_sent(to.place, cut.head, until_us, now_us)
         done = self.done(now_us) if self._done_everywhere is None else self._done_everywhere()
-        return Proof(to.probe, age_us, cut.head, done)
+        return Proof(to.probe, age_us, cut.head, done, cut.source_age_us)
--- a/magpieshift/relay/follower.py
+++ b/magpieshift/relay/follower.py
@@ -41,7 +41,7 @@
     NO_SNAPSHOT = "entries of an epoch without its snapshot"
     IMPOSSIBLE = "impossible message"
     SILENCE = "nothing was heard"
-    STALE = "the relay makes nobody more current"
+    STALE = "the relay tells nothing new of the source"
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +100,8 @@
         self._probe = 0
         self._sent_us: int | None = None  # the last progress on this stream
         self._heard_us = self._checked_us = 0
-        self._current_to_us: int | None = None  # when it was checked last
-        self._helped_us = 0  # when the relay last made it more current, or was busy to
+        self._linked_to_us: int | None = None  # when it was checked last
+        self._helped_us = 0  # when the relay last told newer things of the source, or was busy to
         self._unacknowledged = 0  # batches handed out since then
         self._released = False
 
@@ -176,8 +176,8 @@
         least each ``PROBE_US``. A process that was paused itself reads first what has come meanwhile."""
         if now_us - self._checked_us >= PAUSE_US:
             self._heard_us = self._helped_us = now_us
-        if self.currency.current_to_us != self._current_to_us:
-            self._current_to_us, self._helped_us = self.currency.current_to_us, now_us
+        if self.currency.linked_to_us != self._linked_to_us:
+            self._linked_to_us, self._helped_us = self.currency.linked_to_us, now_us
         self._checked_us = now_us
         silent_us, stale_us = now_us - self._heard_us, now_us - self._helped_us
         if silent_us >= SILENCE_US:
@@ -262,6 +262,6 @@
     if len(batch.entries) > MOST_BATCH_ENTRIES:
         return f"{len(batch.entries)} entries in a batch, at most {MOST_BATCH_ENTRIES} are expected"
     proof = batch.proof
-    if proof is not None and min(proof.age_us, proof.head, proof.done) < 0:
+    if proof is not None and min(proof.age_us, proof.head, proof.done, proof.source_age_us) < 0:
         return "a proof with negative figures"
     return ""
--- a/magpieshift/relay/limits.py
+++ b/magpieshift/relay/limits.py
@@ -13,8 +13,11 @@
 HEARTBEAT_US = 1_000_000  # something is sent so often: two may be lost before ``SILENCE_US``
 SILENCE_US = 2_000_000  # a follower that hears nothing for so long tries another relay
 FOLLOWER_SILENCE_US = 4_000_000  # a stream on which no probe came for so long is ended: half a lease is left
-STALE_US = 5_000_000  # who has not become more current for so long tries another relay: 3 s of lease are left
-UNFIT_US = 5_000_000  # who is less current than this sends its followers elsewhere: 3 s of lease are left
+STALE_US = (
+    5_000_000  # who has heard nothing newer of the source for so long tries another relay: 3 s are left
+)
+UNFIT_US = 5_000_000  # who has heard of its source no later sends its followers elsewhere: 3 s are left
+UNKNOWN_AGE_US = 1 << 50  # of a source that has not read its change log yet: 36 years
 PAUSE_US = 1_000_000  # who was not called for so long was paused itself, and does not blame the other side
 
 WINDOW_BATCHES = 8  # unacknowledged batches of a follower: 2 s at ``BATCH_US``, four acknowledgements
--- a/magpieshift/relay/messages.py
+++ b/magpieshift/relay/messages.py
@@ -76,6 +76,9 @@
     age_us: int
     head: int
     done: int  # every follower, everywhere, has applied everything up to here (or bounds its copies)
+    source_age_us: int = (
+        0  # the part of ``age_us`` by which the source lagged its change log; the rest is the way
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/magpieshift/relay/serving.py
+++ b/magpieshift/relay/serving.py
@@ -54,4 +54,5 @@
     head: int
     made_us: int  # when entries were last made visible
     checked_us: int  # when the log had nothing beyond
-    age_us: int | None  # the process's own age at that time
+    age_us: int | None  # the process's own age at that time; None: it has none to pass on
+    source_age_us: int  # the part of it that is the source's
