--- a/tests/relay/test_fanout.py
+++ b/tests/relay/test_fanout.py
@@ -212,6 +212,24 @@
             self.assertLessEqual(len(within), SNAPSHOTS_PER_S + 1)
         self.assertLessEqual(max(times.values()), 4 * SECOND)
 
+    def test_a_relay_that_was_paused_does_not_hand_out_all_snapshots_at_once(self) -> None:
+        server = Server()
+        for stream in range(200):
+            server.fanout.join(stream, joined(f"r{stream}", epoch=NO_EPOCH), 0)
+            server.fanout.send(stream, 0)  # which takes its turn, or gets one
+        sent = [message for stream in range(200) for message in server.fanout.send(stream, 20 * SECOND)]
+        self.assertLessEqual(sum(1 for message in sent if isinstance(message, Snapshot)), 1)
+
+    def test_who_took_a_snapshot_without_the_newest_configuration_gets_it_once_it_is_known(self) -> None:
+        server, client = Server(), Client()
+        server.put(ConfigurationChange(2, "d2", "d1", b"delta"))
+        client.join(server, 1, 0)
+        now_us = run(server, {1: client}, 0, SECOND)
+        self.assertEqual(client.follower.applied, 1)
+        whole = ConfigurationChange(2, "d2", "", b"whole")
+        server.state.take_configuration(whole)
+        self.assertIn(whole, server.fanout.send(1, now_us))
+
 
 class Watermarks(unittest.TestCase):
     """Who counts. The follower ``r`` has applied 3 of 3 and holds a lease at ``self.now_us``."""
@@ -275,6 +293,21 @@
         exchange(self.server, 2, twin, self.now_us, down=False)
         self.assertEqual(self.server.fanout.status(self.now_us)[1].applied, 0)
 
+    def test_a_follower_that_comes_does_not_hold_up_what_it_must_apply_before_its_first_lease(self) -> None:
+        self.server.add(100)
+        now_us = run(self.server, {1: self.client}, self.now_us, SECOND)
+        other = Client("other")
+        other.join(self.server, 2, now_us)
+        other.follower.progress(now_us)
+        self.server.fanout.progress(2, heard(0, 1, NO_EPOCH), now_us)
+        self.server.fanout.send(2, now_us)
+        now_us += BATCH_US
+        self.assertEqual([proof.head for proof in proofs(self.server.fanout.send(2, now_us))], [103])
+        self.assertTrue(self.server.fanout.status(now_us)[0].counts)
+        self.assertEqual(self.server.fanout.done(now_us), 103)
+        self.server.add()
+        self.assertEqual(self.server.fanout.done(now_us), 103, "but what comes later")
+
     def test_the_same_life_on_another_stream_takes_its_place_over(self) -> None:
         self.server.add()
         join = self.client.follower.connect(self.now_us)
