--- a/magpieshift/relay/fanout.py
+++ b/magpieshift/relay/fanout.py
@@ -21,6 +21,7 @@
     SNAPSHOT_REUSED_US,
     UNFIT_US,
     UNKNOWN_AGE_US,
+    WHOLE_AGAIN_US,
     WINDOW_BATCHES,
     lapse_us,
     stretched,
@@ -100,7 +101,8 @@
         to.place.lags = elsewhere or progress.done < progress.applied
         if progress.probe > to.probe:
             to.probe, to.probe_us = progress.probe, now_us
-        to.want_whole = to.want_whole or progress.want_whole
+        under_way = to.whole_us is not None and now_us - to.whole_us < WHOLE_AGAIN_US
+        to.want_whole = to.want_whole or (progress.want_whole and not under_way)
         if progress.epoch == self._epoch == to.epoch:
             self._acknowledged(to, progress)
         if progress.released:
@@ -146,7 +148,7 @@
                 messages.append(self._send_snapshot(to, now_us))
         if not self._needs_snapshot(to):
             if self._can_send_whole(to) and self._state.configuration is not None:
-                to.want_whole = False
+                to.want_whole, to.whole_us = False, now_us
                 messages.append(self._state.configuration)
             messages += self._batches(to, cut, now_us)
         if not messages and self.due_us(stream) <= now_us:
--- a/magpieshift/relay/limits.py
+++ b/magpieshift/relay/limits.py
@@ -29,6 +29,7 @@
 
 SNAPSHOTS_PER_S = 60  # of one relay: 480 followers within a lease
 SNAPSHOT_REUSED_US = 1_000_000  # one snapshot and the entries after it serve all who need one within this
+WHOLE_AGAIN_US = 2_000_000  # a whole configuration is not sent again to the same follower before
 PURGES_KEPT_US = 30_000_000  # in snapshots: above twice the longest time in which caches drop purged copies
 MOST_PURGES = 33_000  # in snapshots: ``PURGES_KEPT_US`` at ten times 110 a second
 
--- a/magpieshift/relay/serving.py
+++ b/magpieshift/relay/serving.py
@@ -44,6 +44,7 @@
     probe_us: int = 0
     answered: int = 0
     want_whole: bool = False
+    whole_us: int | None = None  # when the whole configuration was last sent
     released: bool = False  # nothing is to be proven any more
 
 
--- a/tests/relay/test_fanout.py
+++ b/tests/relay/test_fanout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from magpieshift.relay.fanout import Superseded, Unfit, UnknownStream
 from magpieshift.relay.follower import Reason
@@ -11,10 +12,10 @@
     HEARTBEAT_US,
     LEASE_US,
     MOST_BATCH_ENTRIES,
-    PROBE_US,
     SNAPSHOTS_PER_S,
     STALE_US,
     UNFIT_US,
+    WHOLE_AGAIN_US,
     WINDOW_BATCHES,
     lapse_us,
 )
@@ -149,9 +150,13 @@
         self.client.follower.want_whole = True
         now_us = run(self.server, {1: self.client}, now_us, SECOND)
         self.assertTrue(self.client.follower.want_whole, "this process does not know it either")
-        self.server.state.take_configuration(ConfigurationChange(2, "d2", "", b"whole"))
-        run(self.server, {1: self.client}, now_us, PROBE_US)
-        self.assertFalse(self.client.follower.want_whole)
+        whole = ConfigurationChange(2, "d2", "", b"whole")
+        self.server.state.take_configuration(whole)
+        self.assertEqual(self.server.fanout.send(1, now_us), [whole])
+        self.server.fanout.progress(1, replace(heard(4, 99), want_whole=True), now_us)
+        self.assertNotIn(whole, self.server.fanout.send(1, now_us + BATCH_US), "it is under way")
+        self.server.fanout.progress(1, replace(heard(4, 100), want_whole=True), now_us + WHOLE_AGAIN_US)
+        self.assertIn(whole, self.server.fanout.send(1, now_us + WHOLE_AGAIN_US))
 
 
 class Windows(unittest.TestCase):
@@ -295,18 +300,20 @@
 
     def test_a_follower_that_comes_does_not_hold_up_what_it_must_apply_before_its_first_lease(self) -> None:
         self.server.add(100)
-        now_us = run(self.server, {1: self.client}, self.now_us, SECOND)
-        other = Client("other")
-        other.join(self.server, 2, now_us)
-        other.follower.progress(now_us)
-        self.server.fanout.progress(2, heard(0, 1, NO_EPOCH), now_us)
-        self.server.fanout.send(2, now_us)
-        now_us += BATCH_US
-        self.assertEqual([proof.head for proof in proofs(self.server.fanout.send(2, now_us))], [103])
+        self.server.fanout.join(2, joined("other", epoch=NO_EPOCH), self.now_us)
+        self.server.fanout.progress(2, heard(0, 1, NO_EPOCH), self.now_us)
+        self.server.fanout.send(2, self.now_us)
+        sent = self.server.fanout.send(2, self.now_us + BATCH_US)
+        self.assertEqual([proof.head for proof in proofs(sent)], [103])
+        self.assertEqual(self.done(BATCH_US), 3, "the other one has not acknowledged yet")
+        now_us = run(self.server, {1: self.client}, self.now_us + BATCH_US, SECOND)
         self.assertTrue(self.server.fanout.status(now_us)[0].counts)
         self.assertEqual(self.server.fanout.done(now_us), 103)
         self.server.add()
-        self.assertEqual(self.server.fanout.done(now_us), 103, "but what comes later")
+        run(self.server, {1: self.client}, now_us, SECOND)
+        self.assertEqual(
+            self.server.fanout.done(now_us + SECOND), 103, "what comes later it must acknowledge"
+        )
 
     def test_the_same_life_on_another_stream_takes_its_place_over(self) -> None:
         self.server.add()
