--- a/magpieshift/relay/limits.py
+++ b/magpieshift/relay/limits.py
@@ -16,7 +16,7 @@
 STALE_US = (
     5_000_000  # who has heard nothing newer of the source for so long tries another relay: 3 s are left
 )
-UNFIT_US = 5_000_000  # who has heard of its source no later sends its followers elsewhere: 3 s are left
+UNFIT_US = 4_000_000  # who has heard of its source no later sends its followers elsewhere: 4 s are left
 UNKNOWN_AGE_US = 1 << 50  # of a source that has not read its change log yet: 36 years
 PAUSE_US = 1_000_000  # who was not called for so long was paused itself, and does not blame the other side
 
