Relay: prove nothing to a follower that does not keep up

A router that hears nothing while its probes arrive was sent a proof for each of them, so it counted with a frozen acknowledgement as long as the cut lasted, and the watermark stood still for everyone; a slow reader did the same. A follower is now proven something only once it has acknowledged on its stream what was the head when it joined, and not while a batch is unacknowledged for longer than LAGGING_US. With that the floor of a lease has no use any more and is gone: whoever begins to count has acknowledged what was there.

--- a/magpieshift/relay/fanout.py
+++ b/magpieshift/relay/fanout.py
@@ -85,8 +85,9 @@
             self._drop(replaced)
         place.stream = stream
         known = join.applied if join.epoch == self._epoch else 0
-        cursor = min(known, self._log.head)
-        self._streams[stream] = Stream(place, join.epoch, cursor, known, now_us, now_us)
+        head = self._log.head
+        opened = Stream(place, join.epoch, min(known, head), known, head, now_us, now_us, acknowledged=known)
+        self._streams[stream] = opened
         return replaced
 
     def progress(self, stream: int, progress: Progress, now_us: int) -> None:
@@ -97,8 +98,6 @@
             raise Superseded(progress.epoch)
         to.heard_us = to.place.heard_us = now_us
         to.place.last = progress
-        elsewhere = progress.followers > 0 and progress.epoch != self._epoch
-        to.place.lags = elsewhere or progress.done < progress.applied
         if progress.probe > to.probe:
             to.probe, to.probe_us = progress.probe, now_us
         under_way = to.whole_us is not None and now_us - to.whole_us < WHOLE_AGAIN_US
@@ -221,14 +220,15 @@
         self._epoch = self._log.epoch
         self._watermark.restart()
         for to in self._streams.values():
-            to.cursor = to.known = 0
+            to.cursor = to.known = to.acknowledged = 0
             to.unacknowledged.clear()
 
     def _acknowledged(self, to: Stream, progress: Progress) -> None:
         """Open the window by what is acknowledged, and count it unless the follower cannot have it."""
-        while to.unacknowledged and to.unacknowledged[0] <= progress.applied:
+        while to.unacknowledged and to.unacknowledged[0][0] <= progress.applied:
             to.unacknowledged.popleft()
         if progress.applied <= max(to.cursor, to.known):
+            to.acknowledged = max(to.acknowledged, progress.applied)
             self._watermark.acknowledged(to.place, progress.applied, progress.done)
         else:
             to.place.disbelieved += 1
@@ -253,7 +253,8 @@
             made = self._snapshot = self._state.snapshot(log.epoch, log.head, now_us)
             self._snapshot_us = now_us
         to.epoch, to.cursor = made.epoch, made.applied
-        to.unacknowledged.append(made.applied)
+        to.needed = made.applied
+        to.unacknowledged.append((made.applied, now_us))
         # where this process does not know the newest version whole, it is sent once it does
         to.want_whole = to.want_whole or self._state.want_whole
         return made
@@ -263,7 +264,7 @@
         while to.cursor < cut.head and len(to.unacknowledged) < WINDOW_BATCHES:
             last = min(to.cursor + MOST_BATCH_ENTRIES, cut.head)
             batches.append(self._batch(to, last, cut, now_us))
-            to.unacknowledged.append(last)
+            to.unacknowledged.append((last, now_us))
         return batches
 
     def _batch(self, to: Stream, last: int, cut: Cut, now_us: int) -> Batch:
@@ -279,11 +280,13 @@
     def _proof(self, to: Stream, cut: Cut, now_us: int) -> Proof | None:
         """The proof that goes with what is sent now. Its age counts from when the log had nothing beyond the
         cut; the lease by it counts from when the probe was sent, which was before it was heard."""
-        if not to.probe or to.cursor < cut.head or cut.age_us is None or to.released:
+        if not to.probe or to.cursor < cut.head or not to.keeps_up(now_us) or to.released:
+            return None
+        if cut.age_us is None:
             return None
         age_us = cut.age_us + stretched(now_us - cut.checked_us)
         until_us = to.probe_us - age_us + lapse_us()
         if until_us > now_us:
-            self._watermark.proof_sent(to.place, cut.head, until_us, now_us)
+            self._watermark.proof_sent(to.place, until_us)
         done = self.done(now_us) if self._done_everywhere is None else self._done_everywhere()
         return Proof(to.probe, age_us, cut.head, done, cut.source_age_us)
--- a/magpieshift/relay/follower.py
+++ b/magpieshift/relay/follower.py
@@ -103,12 +103,14 @@
         self._linked_to_us: int | None = None  # when it was checked last
         self._helped_us = 0  # when the relay last told newer things of the source, or was busy to
         self._unacknowledged = 0  # batches handed out since then
+        self._proven = False  # whether a proof came on this stream: none does before an acknowledgement
         self._released = False
 
     def connect(self, now_us: int) -> Join:
         """A new stream begins: its first message. A progress is due at once."""
         self.currency.new_stream()
         self._probe, self._sent_us = 0, None
+        self._unacknowledged, self._proven = 0, False
         self._heard_us = self._checked_us = self._helped_us = now_us
         return Join(self._name, self._boot, self.epoch, self.applied, self.configuration, self.heard)
 
@@ -154,7 +156,7 @@
         """When the next progress is due; may be past."""
         if self._sent_us is None:
             return self._heard_us
-        hurry = self._unacknowledged >= WINDOW_BATCHES // 2
+        hurry = self._unacknowledged >= (WINDOW_BATCHES // 2 if self._proven else 1)
         return self._sent_us + (ACKNOWLEDGE_US if hurry else PROBE_US)
 
     def progress(self, now_us: int, report: Report | None = None) -> Progress | None:
@@ -230,6 +232,7 @@
             self._taken = epoch, batch.last
         self._unacknowledged += 1 if batch.entries else 0
         if batch.proof is not None:
+            self._proven = True
             self.done = max(self.done, batch.proof.done)
             self.currency.proven(epoch, batch.proof)
         return effects
--- a/magpieshift/relay/limits.py
+++ b/magpieshift/relay/limits.py
@@ -8,10 +8,11 @@
 LAPSE_MARGIN_US = 20_000  # on top of the drift before a lease counts as lapsed: rounding, second-order drift
 
 PROBE_US = 500_000  # a follower acknowledges and probes so often
-ACKNOWLEDGE_US = 100_000  # and not more often, even when half its window is unacknowledged
+ACKNOWLEDGE_US = 100_000  # and not more often, even while it catches up
 BATCH_US = 250_000  # entries wait for others so long; probes are answered within it
 HEARTBEAT_US = 1_000_000  # something is sent so often: two may be lost before ``SILENCE_US``
 SILENCE_US = 2_000_000  # a follower that hears nothing for so long tries another relay
+LAGGING_US = 2_000_000  # who has a batch unacknowledged for longer is proven nothing, and soon counts no more
 FOLLOWER_SILENCE_US = 4_000_000  # a stream on which no probe came for so long is ended: half a lease is left
 STALE_US = (
     5_000_000  # who has heard nothing newer of the source for so long tries another relay: 3 s are left
@@ -34,7 +35,8 @@
 MOST_PURGES = 33_000  # in snapshots: ``PURGES_KEPT_US`` at ten times 110 a second
 
 RETURN_LEAST_S, RETURN_MOST_S = 30.0, 90.0  # until a follower goes back to a better relay, drawn anew
-FAILOVER_FIRST_S, FAILOVER_MOST_S = 0.2, 10.0  # jittered pauses before the next relay
+FAILOVER_FIRST_S, FAILOVER_MOST_S = 0.2, 5.0  # jittered pauses before the next relay
+RELAY_FAILOVER_MOST_S = 2.5  # the same of a relay, before the next source: its followers wait for it
 
 
 def lapse_us(lease_us: int = LEASE_US) -> int:
--- a/magpieshift/relay/selection.py
+++ b/magpieshift/relay/selection.py
@@ -35,13 +35,14 @@
 class Selection:
     """The choice of one follower."""
 
-    def __init__(self, ranked: Sequence[Relay], rand: random.Random) -> None:
-        """``ranked`` as by ``rank``; ``ValueError`` where there is none."""
+    def __init__(self, ranked: Sequence[Relay], rand: random.Random, most_s: float = FAILOVER_MOST_S) -> None:
+        """``ranked`` as by ``rank``; ``ValueError`` where there is none. ``most_s`` bounds the pauses: a
+        relay that looks for a source gives ``RELAY_FAILOVER_MOST_S``."""
         if not ranked:
             raise ValueError("no relay to follow")
         self._ranked, self._random = tuple(ranked), rand
         self._at = 0
-        self._backoff = Backoff(rand, FAILOVER_FIRST_S, FAILOVER_MOST_S)
+        self._backoff = Backoff(rand, FAILOVER_FIRST_S, most_s)
         self._return_us: int | None = None
         self._better = 0  # the next better one to try
 
--- a/magpieshift/relay/serving.py
+++ b/magpieshift/relay/serving.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from magpieshift.relay.limits import LAGGING_US
 from magpieshift.relay.messages import Epoch
 from magpieshift.relay.watermark import Place
 
@@ -37,9 +38,13 @@
     epoch: Epoch  # of what it has; differs from the log's until it was sent a snapshot
     cursor: int  # everything up to here was sent, or it had it when it joined
     known: int  # what it had when it joined: it may be ahead of this log
+    needed: int  # without having acknowledged this much on the stream, it is proven nothing
     heard_us: int
     sent_us: int
-    unacknowledged: deque[int] = field(default_factory=deque)  # the last entry of each batch
+    acknowledged: int = 0
+    unacknowledged: deque[tuple[int, int]] = field(
+        default_factory=deque
+    )  # of each batch, last entry and when
     probe: int = 0  # the last one heard, and when
     probe_us: int = 0
     answered: int = 0
@@ -47,6 +52,11 @@
     whole_us: int | None = None  # when the whole configuration was last sent
     released: bool = False  # nothing is to be proven any more
 
+    def keeps_up(self, now_us: int) -> bool:
+        """Whether it hears and applies what it is sent, and need not be waited for without end."""
+        waits_us = now_us - self.unacknowledged[0][1] if self.unacknowledged else 0
+        return self.acknowledged >= self.needed and waits_us <= LAGGING_US
+
 
 @dataclass(frozen=True, slots=True)
 class Cut:
--- a/magpieshift/relay/watermark.py
+++ b/magpieshift/relay/watermark.py
@@ -23,18 +23,11 @@
     heard_us: int
     stream: int | None = None
     applied: int = 0  # what it has acknowledged in this epoch
-    done: int = 0  # the same of it and all that follow it
-    floor: int = 0  # without having applied this much, it holds no lease by the proofs since its last lapse
-    lags: bool = False  # some that follow it may hold leases by what it had earlier: the floor is not theirs
+    done: int = 0  # the same of it and all that follow it: up to here it counts
     counts_until_us: int | None = None  # by then its lease has surely lapsed; None: it has none
     last: Progress | None = None
     disbelieved: int = 0  # acknowledgements of what it had not been sent
 
-    @property
-    def value(self) -> int:
-        """Up to where it and all that follow it have applied everything, if they hold a lease."""
-        return self.done if self.lags else max(self.done, self.floor)
-
     def counts(self, now_us: int) -> bool:
         """Whether a proof sent to it may still hold."""
         return self.counts_until_us is not None and now_us < self.counts_until_us
@@ -59,17 +52,15 @@
         """A new epoch begins: nobody has anything of it, and who holds a lease goes on counting."""
         self._done = 0
         for place in self.places.values():
-            place.applied = place.done = place.floor = 0
+            place.applied = place.done = 0
 
     def acknowledged(self, place: Place, applied: int, done: int) -> None:
         """A process acknowledged so much of this epoch, for itself and for all that follow it."""
         place.applied = max(place.applied, applied)
         place.done = max(place.done, min(applied, done))
 
-    def proof_sent(self, place: Place, head: int, until_us: int, now_us: int) -> None:
-        """A proof is sent that holds until ``until_us`` at the latest, once its ``head`` is applied."""
-        if not place.counts(now_us):
-            place.floor = head
+    def proof_sent(self, place: Place, until_us: int) -> None:
+        """A proof is sent that holds until ``until_us`` at the latest."""
         place.counts_until_us = max(until_us, place.counts_until_us or until_us)
 
     def released(self, place: Place) -> None:
@@ -78,8 +69,8 @@
 
     def done(self, own_applied: int, now_us: int) -> int:
         """The lowest of those who count and of this process's own; never goes back within an epoch. Who
-        counts later holds no lease before it has come so far."""
-        values = [place.value for place in self.places.values() if place.counts(now_us)]
+        counts later holds no lease before it has come as far as this process was then."""
+        values = [place.done for place in self.places.values() if place.counts(now_us)]
         self._done = max(self._done, min([own_applied, *values]))
         return self._done
 
