Relay: tests for two planted faults that no test found

Of 42 faults planted one by one, two were seen by no test: a proof while the window holds entries back, and a follower of a relay in a new epoch that is never proven anything again.

--- a/tests/relay/test_fanout.py
+++ b/tests/relay/test_fanout.py
@@ -310,6 +310,14 @@
         exchange(self.server, 2, other, now_us + 2 * SECOND)
         self.assertTrue(self.server.fanout.status(now_us + 2 * SECOND)[0].counts)
 
+    def test_nothing_is_proven_while_the_window_holds_something_back(self) -> None:
+        self.server.add(WINDOW_BATCHES * MOST_BATCH_ENTRIES + 1)
+        sent = self.server.fanout.send(1, self.now_us)
+        self.assertEqual((len(sent), proofs(sent)), (WINDOW_BATCHES, []))
+        self.server.fanout.progress(1, heard(3 + MOST_BATCH_ENTRIES, 90), self.now_us)
+        sent = self.server.fanout.send(1, self.now_us)
+        self.assertEqual([proof.head for proof in proofs(sent)], [self.server.log.head])
+
     def test_who_hears_nothing_and_joins_again_and_again_holds_up_nobody_without_end(self) -> None:
         for second in range(12):
             self.server.add(100)
@@ -380,11 +388,12 @@
     def test_a_relay_that_turns_to_another_epoch_counts_those_that_have_not(self) -> None:
         self.server.log.restart(LATER, 1)  # the last two entries were lost
         self.assertEqual(self.done(), 0)
-        self.server.fanout.progress(1, heard(3, 90), self.now_us)
+        self.server.fanout.progress(1, heard(3, 0), self.now_us)
         self.assertEqual(self.done(), 0, "numbers of the epoch before mean nothing")
         now_us = run(self.server, {1: self.client}, self.now_us, SECOND)
         self.assertEqual((self.client.follower.epoch, self.client.follower.applied), (LATER, 1))
         self.assertEqual(self.server.fanout.done(now_us), 1)
+        self.assertTrue(self.client.leased(run(self.server, {1: self.client}, now_us, 2 * LEASE_US)))
 
     def test_many_lives_leave_nothing_behind(self) -> None:
         for life in range(200):
