--- a/magpieshift/relay/messages.py
+++ b/magpieshift/relay/messages.py
@@ -59,6 +59,7 @@
     first: int  # sequence number of the first entry; where there is none, of the next to come
     entries: tuple[Entry, ...]
     proof: Proof | None  # absent while the sender has not yet passed on all it has
+    waiting: bool = False  # of a heartbeat: a snapshot is needed, and follows when it is its turn
 
     @property
     def last(self) -> int:
@@ -75,6 +76,9 @@
     age_us: int
     head: int
     done: int  # every follower, everywhere, has applied everything up to here (or bounds its copies)
+    source_age_us: int = (
+        0  # the part of ``age_us`` by which the source lagged its change log; the rest is the way
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +87,7 @@
 
     epoch: Epoch
     applied: int
-    stores: str  # a whole list, as ``StoreChange.fleet`` with ``complete``; empty if none was told yet
+    stores: str  # as ``StoreChange.fleet``, ``complete`` once a complete list was told; empty if nothing was
     purges: tuple[Purge, ...]
     configuration: ConfigurationChange | None  # whole
 
@@ -97,6 +101,7 @@
     epoch: Epoch  # NO_EPOCH where it has nothing
     applied: int
     configuration: str  # digest of the version in force
+    heard: Epoch = NO_EPOCH  # the highest it has heard of: a source of a lower one ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +119,9 @@
     behind: tuple[str, ...] = ()  # of a relay: names of some followers without the newest version
     behind_count: int = 0
     followers: int = 0  # of a relay
+    released: bool = (
+        False  # it holds no lease by what was proven on this stream, and takes none: it counts no more
+    )
 
 
 ToFollower = Batch | Snapshot | ConfigurationChange
