Relay: call done only what is visible, not the whole log

A simulated history found the watermark ahead of a router with a lease: a relay with no follower that counts reported its log's head, and then proved the head of the last cut, which lay before it, to a router that so held a lease without the entries between.

--- a/magpieshift/relay/fanout.py
+++ b/magpieshift/relay/fanout.py
@@ -170,11 +170,12 @@
     def done(self, now_us: int) -> int:
         """Up to where everyone who counts, and this process, has applied everything; never goes back within
         an epoch."""
-        self._heed(now_us)
+        cut = self._heed(now_us)
         self._watermark.expire(now_us)
         if now_us < self._counts_from_us:
             return 0
-        return self._watermark.done(self._log.head, now_us)
+        # not the log's head: who counts from now on is proven the cut's, and need not have what lies beyond
+        return self._watermark.done(cut.head, now_us)
 
     def report(self, now_us: int) -> Report:
         """What this relay tells its source; at a source, the same over all relays."""
