Give the fan-out tier a wire form on the control channel

Purges are sent in columns, eight bytes of key and a time counted back from the batch's. A batch is made of two pieces that protobuf merges, so that its entries are serialized once for all who get the same range. What cannot be read is one Malformed error with place, found and expected.

--- /dev/null
+++ b/tests/relay/test_codec.py
@@ -0,0 +1,172 @@
+"""Messages of the fan-out tier through their wire form: round trips, sizes, and bytes that are no message."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magpieshift.control.session import MOST_BYTES
+from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.relay import codec
+from magpieshift.relay.codec import Malformed
+from magpieshift.relay.messages import (
+    NO_EPOCH,
+    Batch,
+    ConfigurationChange,
+    Epoch,
+    FromFollower,
+    Join,
+    Progress,
+    Proof,
+    Purge,
+    Snapshot,
+    StoreChange,
+    ToFollower,
+)
+
+counts = st.integers(0, (1 << 63) - 1)
+times = st.one_of(st.integers(0, codec.MOST_TIME_US), st.integers(0, 1 << 51).map(lambda ms: ms * 1000))
+texts = st.text(max_size=20)
+epochs = st.builds(Epoch, st.integers(1, 1 << 50), st.integers(0, (1 << 64) - 1))
+plain_keys = st.integers(0, (1 << 64) - 1).map(lambda key: f"{key:016x}")
+other_keys = st.sampled_from(["a", "ABCDEF0123456789", "00ff", "f" * 17, "0" * 15])
+groups = st.integers(-(1 << 63), (1 << 63) - 1)
+purges = st.one_of(
+    st.builds(Purge, plain_keys | other_keys, st.just(0), times),
+    st.builds(Purge, st.just(""), groups, times),
+)
+changes = st.builds(
+    ConfigurationChange, st.integers(1, 1 << 62), texts.map(lambda text: text + "d"), texts, st.binary()
+)
+entries = st.lists(st.one_of(purges, st.builds(StoreChange, texts), changes), max_size=20).map(tuple)
+proofs = st.builds(Proof, counts, counts, counts, counts)
+batches = st.builds(Batch, epochs, st.integers(1, 1 << 62), entries, st.none() | proofs)
+snapshots = st.builds(
+    Snapshot, epochs, counts, texts, st.lists(purges, max_size=20).map(tuple), st.none() | changes
+)
+whole_versions = st.builds(
+    ConfigurationChange, st.integers(1, 1 << 62), st.just("d1"), st.just(""), texts.map(str.encode)
+)
+joins = st.builds(Join, texts.map(lambda text: text + "n"), texts, epochs | st.just(NO_EPOCH), counts, texts)
+progress = st.builds(
+    Progress, epochs | st.just(NO_EPOCH), counts, counts, counts, texts, counts, texts, st.booleans(),
+    st.lists(texts, max_size=5).map(tuple), st.integers(0, (1 << 32) - 1), st.integers(0, (1 << 32) - 1),
+)  # fmt: skip
+
+
+def refused(data: bytes) -> Malformed:
+    """What is said of bytes that are no message to a follower."""
+    try:
+        found = codec.decode(data)
+    except Malformed as err:
+        return err
+    raise AssertionError(f"read as {found}")
+
+
+def batch_of(*runs: wire.Run, **fields: object) -> bytes:
+    whole = {"epoch": wire.Epoch(term=1, instance=1), "first": 1, "runs": runs} | fields
+    return bytes(wire.FromControl(batch=wire.Batch(**whole)).SerializeToString())  # type: ignore[arg-type]
+
+
+class RoundTrips(unittest.TestCase):
+    @given(st.one_of(batches, snapshots, whole_versions))
+    def test_to_followers(self, message: ToFollower) -> None:
+        self.assertEqual(codec.decode(codec.encode(message)), message)
+
+    @given(st.one_of(joins, progress))
+    def test_from_followers(self, message: FromFollower) -> None:
+        self.assertEqual(codec.decode_from(codec.encode_from(message)), message)
+
+    def test_a_delta_outside_the_log(self) -> None:
+        delta = wire.Delta(base=1, base_digest="b", changes=[wire.Change(path=["listen"])])
+        change = ConfigurationChange(2, "d", "b", bytes(delta.SerializeToString()))
+        self.assertEqual(codec.decode(codec.encode(change)), change)
+
+    @given(batches, proofs)
+    def test_two_followers_share_the_bytes_of_the_entries(self, batch: Batch, proof: Proof) -> None:
+        shared = codec.encode_entries(batch.epoch, batch.first, batch.entries)
+        for each in (proof, Proof(proof.probe, 0, proof.head, proof.done)):
+            found = codec.decode(shared + codec.encode_proof(each))
+            self.assertEqual(found, Batch(batch.epoch, batch.first, batch.entries, each))
+
+
+class Sizes(unittest.TestCase):
+    def test_a_purge_takes_sixteen_bytes_at_most_in_a_batch_of_a_quarter_second(self) -> None:
+        """27 purges at 110 a second, over a quarter of a second and as much delay before it."""
+        now_us = 1_790_000_000_000_000
+        made = [Purge(f"{(1 << 63) + 77 * n:016x}", 0, now_us - 500_000 + n * 9_000 * 2) for n in range(27)]
+        proof = Proof(1 << 20, 8_000_000, 1 << 34, 1 << 34)
+        data = codec.encode(Batch(Epoch(now_us // 1000, 1 << 63), 1 << 34, tuple(made), proof))
+        self.assertLessEqual(len(data) / len(made), 16)
+
+    def test_a_group_and_a_key_of_another_form_do_not_cost_the_others_their_form(self) -> None:
+        plain = [Purge(f"{n:016x}", 0, 5_000_000) for n in range(100)]
+        mixed = [*plain[:50], Purge("", 7, 5_000_000), Purge("ABC", 0, 5_000_000), *plain[50:]]
+        sizes = [len(codec.encode(Batch(Epoch(1, 1), 1, tuple(each), None))) for each in (plain, mixed)]
+        self.assertLess(sizes[1] - sizes[0], 60)
+
+
+class Malformations(unittest.TestCase):
+    @given(st.one_of(batches, snapshots), st.data())
+    def test_a_truncated_message_is_refused_or_proves_less(
+        self, message: Batch | Snapshot, data: st.DataObject
+    ) -> None:
+        whole = codec.encode(message)
+        cut = whole[: data.draw(st.integers(0, len(whole) - 1))]
+        try:
+            found = codec.decode(cut)
+        except Malformed as err:
+            self.assertTrue(err.place and err.found and err.expected)
+        else:
+            assert isinstance(message, Batch)  # cut between its two pieces
+            self.assertEqual(found, Batch(message.epoch, message.first, message.entries, None))
+
+    @given(st.binary(max_size=200))
+    def test_noise_is_a_message_or_malformed_and_never_another_error(self, noise: bytes) -> None:
+        for read in (codec.decode, codec.decode_from):
+            try:
+                read(noise)
+            except Malformed as err:
+                self.assertNotIn("\n", str(err))
+
+    def test_an_oversized_message(self) -> None:
+        batch = Batch(Epoch(1, 1), 1, (StoreChange("x" * MOST_BYTES),), None)
+        err = refused(codec.encode(batch))
+        self.assertEqual((err.place, err.expected), ("message", f"at most {MOST_BYTES}"))
+
+    def test_each_is_told_by_its_place(self) -> None:
+        for data, place in (
+            (b"", "message"),
+            (b"\xff\xff\xff", "message"),
+            (batch_of(first=0), "batch first"),
+            (batch_of(epoch=wire.Epoch()), "batch epoch"),
+            (batch_of(wire.Run()), "batch runs[0]"),
+            (batch_of(wire.Run(purges=wire.Purges(before=[0])), base_ms=1), "batch runs[0] purges"),
+            (
+                batch_of(wire.Run(purges=wire.Purges(objects=[1, 2], before=[0]))),
+                "batch runs[0] purges before",
+            ),
+            (
+                batch_of(wire.Run(purges=wire.Purges(objects=[1], groups=[2], before=[0]))),
+                "batch runs[0] purges",
+            ),
+            (batch_of(wire.Run(purges=wire.Purges(objects=[1], before=[9]))), "batch runs[0] purges before"),
+            (batch_of(wire.Run(purges=wire.Purges(keys=["x y"], before=[0]))), "batch runs[0] purges keys"),
+            (batch_of(wire.Run(configuration=wire.ConfigurationVersion())), "batch runs[0] configuration"),
+            (codec.encode_proof(Proof(1, 1, 1, 1)), "batch first"),
+            (bytes(wire.FromControl(version=wire.Version(number=1)).SerializeToString()), "version"),
+        ):
+            with self.subTest(place):
+                self.assertEqual(refused(data).place, place)
+
+    def test_what_is_no_followers_message(self) -> None:
+        hello = bytes(wire.FromRouter(hello=wire.Hello(router="r")).SerializeToString())
+        nameless = codec.encode_from(Join("", "", NO_EPOCH, 0, ""))
+        for data, found in ((hello, "hello"), (b"", "nothing"), (nameless, "nothing")):
+            with self.assertRaises(Malformed) as caught:
+                codec.decode_from(data)
+            self.assertEqual(caught.exception.found, found)
+
+
+if __name__ == "__main__":
+    unittest.main()
