Drive the fan-out tier over gRPC: service, client, source and relay processes, command

Entries are serialized once for all followers of a range. magpieshift relay source, serve and status run and show them.

The feed's client can tell whether all that has arrived is read, and a subclass of ChangeLog may take lists raw; read_folder can pass over numbers that are known.

Not run yet: real processes, failures.

--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -7,7 +7,7 @@
 
 import click
 
-from magpieshift.cli import captures, configuration, laboratory, rollouts, router, service
+from magpieshift.cli import captures, configuration, laboratory, relays, rollouts, router, service
 from magpieshift.cli import fleet as fleet_commands
 from magpieshift.cli.errors import PROGRAM, guarded
 from magpieshift.cli.hinting import Hinting
@@ -40,6 +40,7 @@
 cli.add_command(fleet_commands.members)
 cli.add_command(fleet_commands.talk)
 cli.add_command(rollouts.rollout)
+cli.add_command(relays.relay)
 cli.add_command(captures.capture)
 cli.add_command(captures.replay)
 
--- /dev/null
+++ b/magpieshift/cli/relays.py
@@ -0,0 +1,133 @@
+"""Commands of the fan-out tier: run a source or a relay, and see how far behind is whom."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Any
+
+import click
+
+from magpieshift.cli.hinting import JSON, Hinting
+from magpieshift.cli.logs import setup
+from magpieshift.config import ConfigError, address
+
+LOG = click.option(
+    "--log", "log_form", type=click.Choice(["pairs", "json"]), default="pairs", envvar="EDGE_LOG",
+    help="Form of the log's lines.  [pairs]",
+)  # fmt: skip
+LISTEN = click.option("--listen", required=True, help="host:port for relays and routers.")
+SHOWN_DIGEST = 12  # characters
+
+EXAMPLES = """\b
+Examples:
+  magpieshift relay source --changelog 10.0.0.1:7070 --versions versions/ --listen 0.0.0.0:7090
+  magpieshift relay serve --source 10.0.0.1:7090 --listen 0.0.0.0:7091 --name n1 --region north
+  magpieshift run --config router.sexp --relays 10.0.1.1:7091,10.0.1.2:7091 --region north
+  magpieshift relay status 10.0.1.1:7091
+"""
+
+
+@click.group(cls=Hinting, epilog=EXAMPLES)
+def relay() -> None:
+    """The fan-out tier between the change log and the routers."""
+
+
+@relay.command(
+    epilog="\b\nExample:\n  magpieshift relay source --changelog 10.0.0.1:7070 --listen 0.0.0.0:7090"
+)
+@click.option("--changelog", required=True, help="host:port of the change log.")
+@click.option("--versions", default="", help="Folder of configuration versions (files NUMBER.sexp).")
+@LISTEN
+@click.option("--name", default="source", show_default=True)
+@click.option("--region", default="", help="Where it stands.")
+@LOG
+def source(changelog: str, versions: str, listen: str, name: str, region: str, log_form: str) -> None:
+    """Number what the change log and a folder of versions tell, and serve it to relays."""
+    from magpieshift.relay.node import SourceNode, SourceOptions
+
+    _checked(listen, "--listen")
+    if versions and not Path(versions).is_dir():
+        raise ConfigError(f"--versions: found {versions!r}, expected a folder")
+    options = SourceOptions(address(changelog, "--changelog"), listen, versions, name, region)
+    setup(log_form)
+    _run(lambda: SourceNode(options))
+
+
+@relay.command(epilog="\b\nExample:\n  magpieshift relay serve --source 10.0.0.1:7090 --listen 0.0.0.0:7091 "
+               "--name n1 --region north")  # fmt: skip
+@click.option("--source", "sources", required=True, help="host:port of the source; several with commas.")
+@LISTEN
+@click.option("--name", required=True, help="Unique among the source's relays.")
+@click.option("--region", required=True, help="Where it stands.")
+@LOG
+def serve(sources: str, listen: str, name: str, region: str, log_form: str) -> None:
+    """Follow a source, and serve what it tells to routers."""
+    from magpieshift.relay.node import RelayNode, RelayOptions
+    from magpieshift.relay.settings import read_relays
+
+    _checked(listen, "--listen")
+    if not name:
+        raise ConfigError("--name: found nothing, expected a name")
+    options = RelayOptions(read_relays(sources, region, "--source"), listen, name, region)
+    setup(log_form)
+    _run(lambda: RelayNode(options))
+
+
+def _checked(listen: str, what: str) -> None:
+    address(listen, what)
+
+
+def _run(make: Any) -> None:
+    """Run a node until it is told to end."""
+    from magpieshift.relay.node import SourceSuperseded
+
+    async def main() -> None:
+        node = make()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, node.stop)
+        await node.run()
+
+    try:
+        asyncio.run(main())
+    except (OSError, SourceSuperseded) as err:
+        raise click.ClickException(str(err)) from err
+
+
+@relay.command("status", epilog="\b\nExample:\n  magpieshift relay status 10.0.1.1:7091")
+@click.argument("place", metavar="HOST:PORT")
+@JSON
+def status_(place: str, as_json: bool) -> None:
+    """How far behind is whom, as a source or relay tells it; exit code 1 where it does not."""
+    from magpieshift.cli import show
+    from magpieshift.relay import status
+
+    host, port = address(place, "HOST:PORT")
+    try:
+        report = asyncio.run(status.ask(f"{host}:{port}"))
+    except status.Unreachable as err:
+        raise click.ClickException(f"{place}: {err}") from err
+    if as_json:
+        show.as_json(status.as_data(report))
+        return
+    age = f"{report.age_us / 1e6:.1f} s old" if report.HasField("age_us") else "not current"
+    click.echo(
+        f"{report.name} {report.region} after {report.upstream}: epoch {report.epoch.term}, "
+        f"entry {report.head}, done everywhere {report.done}, {age}"
+    )
+    version = f"version {report.version} {report.digest[:SHOWN_DIGEST]}"
+    click.echo(f"{version}; {report.followers_count} followers, "
+               f"{report.behind_count} without it: {' '.join(report.behind)}")  # fmt: skip
+    show.table(
+        ("follower", "connected", "counts", "applied", "behind", "heard s ago", "version", "refused"),
+        [
+            (
+                each.name, each.connected, each.counts, each.applied, each.behind,
+                f"{each.heard_us / 1e6:.1f}", each.configuration[:SHOWN_DIGEST],
+                f"{each.refused}: {each.refusal}" if each.refused else "",
+            )
+            for each in report.followers
+        ],
+    )  # fmt: skip
--- a/magpieshift/control/client.py
+++ b/magpieshift/control/client.py
@@ -36,6 +36,16 @@
 ]
 
 
+async def connect(channel: Any) -> None:
+    """Wait for a channel's connection to come up; a refusal is a failure at once, not after gRPC's own tries.
+    ``TimeoutError`` or ``ConnectionError`` where it does not."""
+    async with asyncio.timeout(CONNECT_S):
+        while (state := channel.get_state(try_to_connect=True)) != grpc.ChannelConnectivity.READY:
+            if state == grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                raise ConnectionError("no connection")
+            await channel.wait_for_state_change(state)
+
+
 class ControlClient:
     """Owner of the one stream to the control service."""
 
@@ -101,7 +111,7 @@
             writing: asyncio.Task[None] | None = None
             session = RouterSession()
             try:
-                await self._connect(channel)
+                await connect(channel)
                 hello = session.hello(
                     self._name, self._boot, self._keeper.in_force, self._keeper.running(), self._trouble
                 )
@@ -125,15 +135,6 @@
                     writing.cancel()
                 call.cancel()
 
-    @staticmethod
-    async def _connect(channel: Any) -> None:
-        """Wait for the connection to come up; a refusal is a failure at once, not after gRPC's own tries."""
-        async with asyncio.timeout(CONNECT_S):
-            while (state := channel.get_state(try_to_connect=True)) != grpc.ChannelConnectivity.READY:
-                if state == grpc.ChannelConnectivity.TRANSIENT_FAILURE:
-                    raise ConnectionError("no connection")
-                await channel.wait_for_state_change(state)
-
     def _take(self, session: RouterSession, data: bytes) -> None:
         match session.feed(data):
             case Offer() as offer:
--- a/magpieshift/control/publisher.py
+++ b/magpieshift/control/publisher.py
@@ -139,10 +139,12 @@
         return bytes(wire.FromControl(version=message).SerializeToString())
 
 
-def read_folder(folder: str | Path) -> list[Published]:
-    """The versions in a folder's files ``NUMBER.sexp``, in order; other files are passed over."""
+def read_folder(folder: str | Path, above: int = -1) -> list[Published]:
+    """The versions in a folder's files ``NUMBER.sexp`` with numbers above one, in order; other files are
+    passed over."""
     found = []
     for path in Path(folder).iterdir():
-        if (match := VERSION_FILE.fullmatch(path.name)) and path.is_file():
+        match = VERSION_FILE.fullmatch(path.name)
+        if match and int(match[1]) > above and path.is_file():
             found.append(Published.of(int(match[1]), path.read_text(encoding="utf-8", errors="replace")))
     return sorted(found, key=lambda version: version.number)
--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -110,7 +110,7 @@
         try:
             if "fleet" in event:
                 self._log_at_once = True
-                self._fleet(event["fleet"], first)
+                self.take_list(event["fleet"], first)
             if "invalidate" in event:
                 self._purge(event["invalidate"])
         except Exception as err:
@@ -118,7 +118,8 @@
         else:
             self._unlogged += 1
 
-    def _fleet(self, fleet: Mapping[str, Any], first: bool) -> None:
+    def take_list(self, fleet: Mapping[str, Any], first: bool) -> None:
+        """Tell the listener of a list of stores, as the log has it."""
         members = []
         for raw in fleet["members"]:
             try:
--- a/magpieshift/feed/client.py
+++ b/magpieshift/feed/client.py
@@ -45,6 +45,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         self._feed.alive()
+        self._feed.chunks += 1
         now = asyncio.get_running_loop().time()
         try:
             for event in self._parser.feed(chunk):
@@ -71,6 +72,8 @@
         self._task: asyncio.Task[None] | None = None
         self._heard = 0.0
         self.answered = False  # by the log, so far
+        self.chunks = 0  # of its answers' bodies that were read, so far
+        self._stream: IOStream | None = None
 
     def prepare(self, old: Document, new: Document) -> Callable[[], None]:
         """Make ready for a new document: another address, other words for zones and kinds."""
@@ -110,6 +113,20 @@
     def alive(self) -> None:
         self._heard = asyncio.get_running_loop().time()
 
+    def all_read(self) -> bool:
+        """Whether the log is connected and everything that has arrived from it by now is read and applied.
+        To be called from the event loop itself."""
+        stream = self._stream
+        if stream is None or stream.closed() or not stream.reading():
+            return False  # what is not being read may wait between the socket and the changes
+        try:
+            stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False  # bytes, or the end of the stream
+
     async def caught_up(self, within_s: float) -> bool:
         """Wait until the log has told what it had to tell; whether it did within this time."""
         loop = asyncio.get_running_loop()
@@ -143,6 +160,7 @@
             async with asyncio.timeout(CONNECT_S):
                 await stream.connect(self._address)
             self.alive()
+            self._stream = stream
             watch = asyncio.ensure_future(self._watch(stream))
             reader = _Reader(self, stream)
             parameters = HTTP1ConnectionParameters(no_keep_alive=True, max_body_size=1 << 40)
@@ -160,6 +178,7 @@
         finally:
             if watch is not None:
                 watch.cancel()
+            self._stream = None
             stream.close()
             self.changes.log_all()
 
--- a/magpieshift/relay/codec.py
+++ b/magpieshift/relay/codec.py
@@ -34,6 +34,7 @@
 
 PLAIN_KEY = re.compile(r"[0-9a-f]{16}")  # sent as eight bytes
 MS_US = 1000
+MOST_SNAPSHOT_BYTES = 4 * MOST_BYTES  # the purges of a long burst alone come near to MOST_BYTES
 MOST_TIME_US = (1 << 62) - 1  # of Unix times on the wire
 MOST_GROUP = (1 << 63) - 1
 
@@ -52,20 +53,20 @@
 def encode(message: ToFollower) -> bytes:
     """The bytes of a message to a follower."""
     if isinstance(message, Batch):
-        entries = encode_entries(message.epoch, message.first, message.entries)
+        entries = encode_entries(message.epoch, message.first, message.entries, message.waiting)
         return entries if message.proof is None else entries + encode_proof(message.proof)
     if isinstance(message, Snapshot):
         return _snapshot(message)
     return _version(message)
 
 
-def encode_entries(epoch: Epoch, first: int, entries: Sequence[Entry]) -> bytes:
+def encode_entries(epoch: Epoch, first: int, entries: Sequence[Entry], waiting: bool = False) -> bytes:
     """A batch without a proof; ``encode_proof`` may be appended."""
     base_ms = _base_ms(entry for entry in entries if isinstance(entry, Purge))
     runs = []
     for _, run in groupby(entries, _kind):
         runs += _runs(list(run), base_ms)
-    batch = wire.Batch(epoch=_epoch(epoch), first=first, base_ms=base_ms, runs=runs)
+    batch = wire.Batch(epoch=_epoch(epoch), first=first, base_ms=base_ms, runs=runs, waiting=waiting)
     return bytes(wire.FromControl(batch=batch).SerializeToString())
 
 
@@ -165,13 +166,15 @@
 
 def _parsed(message: Any, data: bytes) -> str | None:
     """Parse into a message; the name of what it says."""
-    if len(data) > MOST_BYTES:
-        raise Malformed("message", f"{len(data)} bytes", f"at most {MOST_BYTES}")
+    if len(data) > MOST_SNAPSHOT_BYTES:
+        raise Malformed("message", f"{len(data)} bytes", f"at most {MOST_SNAPSHOT_BYTES}")
     try:
         message.ParseFromString(data)
     except DecodeError as err:
         raise Malformed("message", f"{len(data)} bytes that cannot be read ({err})", "a message") from None
     said: str | None = message.WhichOneof("said")
+    if len(data) > MOST_BYTES and said != "snapshot":
+        raise Malformed(said or "message", f"{len(data)} bytes", f"at most {MOST_BYTES}")
     return said
 
 
@@ -185,7 +188,8 @@
     if batch.HasField("proof"):
         said = batch.proof
         proof = Proof(said.probe, said.age_us, said.head, said.done)
-    return Batch(_read_given_epoch(batch, "batch epoch"), batch.first, tuple(entries), proof)
+    epoch = _read_given_epoch(batch, "batch epoch")
+    return Batch(epoch, batch.first, tuple(entries), proof, batch.waiting)
 
 
 def _read_run(run: wire.Run, base_ms: int, place: str) -> list[Entry]:
@@ -263,12 +267,16 @@
 
 def _read_given_epoch(message: Any, place: str) -> Epoch:
     """The epoch of a message that must have one."""
-    epoch = Epoch(message.epoch.term, message.epoch.instance)
+    epoch = _read_epoch(message.epoch)
     if epoch == NO_EPOCH:
         raise Malformed(place, "none", "one")
     return epoch
 
 
+def _read_epoch(epoch: wire.Epoch) -> Epoch:
+    return Epoch(epoch.term, epoch.instance)
+
+
 # --- from followers
 
 
@@ -277,14 +285,14 @@
     if isinstance(message, Join):
         join = wire.Join(
             name=message.name, boot=message.boot, epoch=_epoch(message.epoch), applied=message.applied,
-            configuration=message.configuration,
+            configuration=message.configuration, heard=_epoch(message.heard),
         )  # fmt: skip
         return bytes(wire.FromRouter(join=join).SerializeToString())
     progress = wire.Progress(
         epoch=_epoch(message.epoch), applied=message.applied, probe=message.probe, done=message.done,
         configuration=message.configuration, refused=message.refused, refusal=message.refusal,
         want_whole=message.want_whole, behind=message.behind, behind_count=message.behind_count,
-        followers=message.followers,
+        followers=message.followers, released=message.released,
     )  # fmt: skip
     return bytes(wire.FromRouter(progress=progress).SerializeToString())
 
@@ -297,13 +305,13 @@
         join = message.join
         if not join.name:
             raise Malformed("join name", "nothing", "the follower's name")
-        epoch = Epoch(join.epoch.term, join.epoch.instance)
-        return Join(join.name, join.boot, epoch, join.applied, join.configuration)
+        epoch, heard = _read_epoch(join.epoch), _read_epoch(join.heard)
+        return Join(join.name, join.boot, epoch, join.applied, join.configuration, heard)
     if said == "progress":
         told = message.progress
         return Progress(
-            Epoch(told.epoch.term, told.epoch.instance), told.applied, told.probe, told.done,
+            _read_epoch(told.epoch), told.applied, told.probe, told.done,
             told.configuration, told.refused, told.refusal, told.want_whole, tuple(told.behind),
-            told.behind_count, told.followers,
+            told.behind_count, told.followers, told.released,
         )  # fmt: skip
     raise Malformed("message", said or "nothing", "join or progress")
--- a/tests/relay/test_codec.py
+++ b/tests/relay/test_codec.py
@@ -8,7 +8,7 @@
 from magpieshift.control.session import MOST_BYTES
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.relay import codec
-from magpieshift.relay.codec import Malformed
+from magpieshift.relay.codec import MOST_SNAPSHOT_BYTES, Malformed
 from magpieshift.relay.messages import (
     NO_EPOCH,
     Batch,
@@ -40,17 +40,19 @@
 )
 entries = st.lists(st.one_of(purges, st.builds(StoreChange, texts), changes), max_size=20).map(tuple)
 proofs = st.builds(Proof, counts, counts, counts, counts)
-batches = st.builds(Batch, epochs, st.integers(1, 1 << 62), entries, st.none() | proofs)
+batches = st.builds(Batch, epochs, st.integers(1, 1 << 62), entries, st.none() | proofs, st.booleans())
 snapshots = st.builds(
     Snapshot, epochs, counts, texts, st.lists(purges, max_size=20).map(tuple), st.none() | changes
 )
 whole_versions = st.builds(
     ConfigurationChange, st.integers(1, 1 << 62), st.just("d1"), st.just(""), texts.map(str.encode)
 )
-joins = st.builds(Join, texts.map(lambda text: text + "n"), texts, epochs | st.just(NO_EPOCH), counts, texts)
+some_epochs = epochs | st.just(NO_EPOCH)
+joins = st.builds(Join, texts.map(lambda text: text + "n"), texts, some_epochs, counts, texts, some_epochs)
 progress = st.builds(
-    Progress, epochs | st.just(NO_EPOCH), counts, counts, counts, texts, counts, texts, st.booleans(),
+    Progress, some_epochs, counts, counts, counts, texts, counts, texts, st.booleans(),
     st.lists(texts, max_size=5).map(tuple), st.integers(0, (1 << 32) - 1), st.integers(0, (1 << 32) - 1),
+    st.booleans(),
 )  # fmt: skip
 
 
@@ -119,7 +121,9 @@
             self.assertTrue(err.place and err.found and err.expected)
         else:
             assert isinstance(message, Batch)  # cut between its two pieces
-            self.assertEqual(found, Batch(message.epoch, message.first, message.entries, None))
+            self.assertEqual(
+                found, Batch(message.epoch, message.first, message.entries, None, message.waiting)
+            )
 
     @given(st.binary(max_size=200))
     def test_noise_is_a_message_or_malformed_and_never_another_error(self, noise: bytes) -> None:
@@ -130,9 +134,17 @@
                 self.assertNotIn("\n", str(err))
 
     def test_an_oversized_message(self) -> None:
+        def snapshot(bytes_: int) -> bytes:
+            return codec.encode(Snapshot(Epoch(1, 1), 1, "x" * bytes_, (), None))
+
         batch = Batch(Epoch(1, 1), 1, (StoreChange("x" * MOST_BYTES),), None)
-        err = refused(codec.encode(batch))
-        self.assertEqual((err.place, err.expected), ("message", f"at most {MOST_BYTES}"))
+        self.assertIsInstance(codec.decode(snapshot(MOST_BYTES)), Snapshot)
+        for data, place, most in (
+            (codec.encode(batch), "batch", MOST_BYTES),
+            (snapshot(MOST_SNAPSHOT_BYTES), "message", MOST_SNAPSHOT_BYTES),
+        ):
+            err = refused(data)
+            self.assertEqual((err.place, err.expected), (place, f"at most {most}"))
 
     def test_each_is_told_by_its_place(self) -> None:
         for data, place in (
