Force failures between source, relays and followers in one event loop

A relay killed between receiving a batch and passing it on, a follower that reads nothing, lost acknowledgements, a cut longer than the log, a source started again and one that is superseded, messages that cannot be read both ways, versions by delta and whole, and how current a source claims to be.

A message that cannot be read is one log line of a follower, as it is of a service. Log sizes are options.

--- a/magpieshift/relay/client.py
+++ b/magpieshift/relay/client.py
@@ -191,7 +191,11 @@
                 await self._close_former()
                 self._former, kept = connection, True
             raise
-        except (StreamEnded, Malformed, TimeoutError, ConnectionError) as err:
+        except Malformed as err:
+            log.warning("malformed message", extra=fields(relay=relay.name, reason=err))
+            self._told_lost = True
+            return str(err)
+        except (StreamEnded, TimeoutError, ConnectionError) as err:
             return str(err) or "no connection in time"
         except asyncio.InvalidStateError:
             return "the stream ended"
@@ -215,11 +219,7 @@
         """Take in what the relay sends, each message in one turn."""
         found = False
         while (data := await connection.read()) is not None:
-            try:
-                message = decode(data)
-            except Malformed as err:
-                log.warning("malformed message", extra=fields(relay=relay.name, reason=err))
-                raise
+            message = decode(data)
             now_us = clock.source.steady_us()
             for effect in self._follower.receive(message, now_us):
                 self._carry_out(effect)
--- a/magpieshift/relay/node.py
+++ b/magpieshift/relay/node.py
@@ -17,7 +17,7 @@
 from magpieshift.relay.client import RelayClient
 from magpieshift.relay.fanout import Fanout
 from magpieshift.relay.follower import Apply, Follower
-from magpieshift.relay.limits import lapse_us
+from magpieshift.relay.limits import MOST_LOG_ENTRIES, lapse_us
 from magpieshift.relay.log import SequencedLog
 from magpieshift.relay.messages import NO_EPOCH, ConfigurationChange, Entry, Epoch, Snapshot
 from magpieshift.relay.selection import Relay, Selection, rank
@@ -43,6 +43,7 @@
     versions: str = ""  # folder of configuration versions; empty: none are passed on
     name: str = "source"
     region: str = ""
+    log_entries: int = MOST_LOG_ENTRIES  # kept; who lacks older ones gets a snapshot
 
 
 @dataclass(frozen=True)
@@ -53,14 +54,16 @@
     listen: str  # host:port
     name: str
     region: str
+    log_entries: int = MOST_LOG_ENTRIES
 
 
 class _Node:
     """What source and relay have in common: a log, its state, followers, and the lines about them."""
 
-    def __init__(self, name: str, region: str, epoch: Epoch) -> None:
-        self.name, self.region = name, region
-        self.log, self.state = SequencedLog(epoch), State(configuration.make_whole)
+    def __init__(self, options: SourceOptions | RelayOptions, epoch: Epoch) -> None:
+        self.name, self.region = options.name, options.region
+        self.log = SequencedLog(epoch, most=options.log_entries)
+        self.state = State(configuration.make_whole)
         self.fanout = self._make_fanout()
         self.service = RelayService(self.fanout, self._superseded, self.report)
         self._ended = asyncio.Event()
@@ -126,7 +129,7 @@
         self._versions = VersionReader(options.versions, self._append) if options.versions else None
         self._newer = NO_EPOCH
         epoch = Epoch(clock.source.unix_us() // 1000, secrets.randbits(64))
-        super().__init__(options.name, options.region, epoch)
+        super().__init__(options, epoch)
 
     async def run(self, ready: Callable[[int], None] = lambda port: None) -> None:
         """Serve until ``stop``; ``SourceSuperseded`` where another source is newer, ``OSError`` where it
@@ -174,7 +177,7 @@
     def __init__(self, options: RelayOptions, rand: random.Random | None = None) -> None:
         self._options = options
         self.follower = Follower(options.name, secrets.token_hex(4))
-        super().__init__(options.name, options.region, NO_EPOCH)
+        super().__init__(options, NO_EPOCH)
         selection = Selection(rank(options.name, options.region, options.sources), rand or random.Random())
         self.client = RelayClient(self.follower, selection, self, self.fanout.report)
 
--- a/magpieshift/relay/service.py
+++ b/magpieshift/relay/service.py
@@ -108,12 +108,16 @@
         await self._server.start()
         self._ticking = asyncio.ensure_future(self._tick())
 
+    def end_streams(self, why: str) -> None:
+        """End all streams: nothing more is written on them."""
+        for stream in list(self._streams.values()):
+            stream.end(Code.UNAVAILABLE, why)
+
     async def stop(self) -> None:
         """End all streams, at once."""
         if self._ticking is not None:
             self._ticking.cancel()
-        for stream in list(self._streams.values()):
-            stream.end(Code.UNAVAILABLE, "ending")
+        self.end_streams("ending")
         if self._server is not None:
             await self._server.stop(0)
 
--- a/tests/relay/rig.py
+++ b/tests/relay/rig.py
@@ -14,6 +14,7 @@
 from magpieshift.lab.standins import peers
 from magpieshift.relay.client import RelayClient
 from magpieshift.relay.follower import Apply, Follower
+from magpieshift.relay.limits import MOST_LOG_ENTRIES
 from magpieshift.relay.messages import ConfigurationChange, Entry, Purge, Snapshot
 from magpieshift.relay.node import RelayNode, RelayOptions, SourceNode, SourceOptions
 from magpieshift.relay.selection import Relay, Selection
@@ -30,6 +31,7 @@
     """A follower that notes what it is told."""
 
     def __init__(self, name: str, relays: Sequence[Relay]) -> None:
+        self.name = name
         self.follower = Follower(name, f"boot of {name}")
         self.entries: list[Entry] = []
         self.snapshots: list[Snapshot] = []
@@ -58,6 +60,50 @@
         return self.follower.currency.lease_held(clock.source.steady_us())
 
 
+class Wire:
+    """A TCP connection between a follower and a node, which can be cut in each direction: what is sent that
+    way then goes nowhere, and nobody is told."""
+
+    def __init__(self, target: int) -> None:
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.to_node = self.to_follower = True
+        self.port = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._carry, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Refuse new connections and break off all that are open."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        node_reader, node_writer = await asyncio.open_connection("127.0.0.1", self._target)
+        self._writers |= {writer, node_writer}
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, node_writer, lambda: self.to_node),
+                self._pass_on(node_reader, writer, lambda: self.to_follower),
+            )
+        finally:
+            self._writers -= {writer, node_writer}
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, carries: Callable[[], bool]
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while data := await reader.read(65536):
+                if carries():
+                    writer.write(data)
+                    await writer.drain()
+            writer.close()
+
+
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     """A change log, and what is started round it."""
 
@@ -93,12 +139,21 @@
         with contextlib.suppress(Exception):
             await running
 
-    async def source(self, versions: str = "", listen: str = "127.0.0.1:0") -> tuple[SourceNode, int]:
-        node = SourceNode(SourceOptions(("127.0.0.1", self.changes.port), listen, versions))
-        return node, await self.node(node)
-
-    async def relay(self, name: str, *sources: int, listen: str = "127.0.0.1:0") -> tuple[RelayNode, int]:
-        options = RelayOptions([at(port) for port in sources], listen, name, "north")
+    async def source(self, versions: str = "") -> tuple[SourceNode, int]:
+        """A source that takes followers."""
+        node = SourceNode(self.source_options("127.0.0.1:0", versions))
+        port = await self.node(node)
+        await self.until(lambda: node.fanout.fit(clock.source.steady_us()), "the source is current")
+        return node, port
+
+    def source_options(self, listen: str, versions: str = "", log_port: int = 0) -> SourceOptions:
+        return SourceOptions(("127.0.0.1", log_port or self.changes.port), listen, versions)
+
+    async def relay(
+        self, name: str, *sources: int, log_entries: int = MOST_LOG_ENTRIES
+    ) -> tuple[RelayNode, int]:
+        relays = [at(port) for port in sources]
+        options = RelayOptions(relays, "127.0.0.1:0", name, "north", log_entries)
         node = RelayNode(options, random.Random(name))
         return node, await self.node(node)
 
@@ -108,6 +163,25 @@
         self.addAsyncCleanup(router.client.stop)
         return router
 
+    async def wire(self, target: int) -> Wire:
+        wire = Wire(target)
+        await wire.start()
+        self.addCleanup(wire.stop)
+        return wire
+
+    async def all_current(self, *routers: Router) -> None:
+        """Wait until each holds a lease."""
+        for router in routers:
+            await self.until(lambda router=router: router.current, "a lease")  # type: ignore[misc]
+
+    async def all_told(self, *routers: Router) -> None:
+        """Wait until each has been told of all purges; none is told out of order, or twice."""
+        for router in routers:
+            await self.until(
+                lambda router=router: self.keys[-1] in router.purged,  # type: ignore[misc]
+                f"{router.name} is told of all purges",
+            )
+
     async def until(self, true: Callable[[], bool], what: str) -> None:
         """Wait for something to become true."""
         end = time.monotonic() + PATIENCE_S
--- a/tests/relay/test_drivers.py
+++ b/tests/relay/test_drivers.py
@@ -2,32 +2,385 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import logging
+import tempfile
+import time
 import unittest
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import grpc
+import grpc.aio
 
 from magpieshift import clock
-from tests.relay.rig import RelayCase
+from magpieshift.control import sexp
+from magpieshift.control.client import METHOD
+from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.lab.standins import peers
+from magpieshift.relay import codec
+from magpieshift.relay.follower import Apply
+from magpieshift.relay.messages import NO_EPOCH, Batch, ConfigurationChange, Epoch, Join, Progress
+from magpieshift.relay.node import RelayNode, RelayOptions, SourceNode, SourceSuperseded
+from magpieshift.relay.service import Stream
+from magpieshift.relay.source import Delays
+from tests.relay.rig import RelayCase, Router, at
 
 
-class Together(RelayCase):
-    async def test_purges_come_through_a_source_and_two_relays_in_order(self) -> None:
-        self.purge(3)
+class DyingRelay(RelayNode):
+    """A relay that ends all its streams once it has received a batch, before it passes that on."""
+
+    dying = False
+
+    def apply(self, batch: Apply) -> None:
+        super().apply(batch)
+        if self.dying:
+            self.service.end_streams("killed")
+            self.stop()
+
+
+class RawFollower:
+    """A follower's stream, driven by hand."""
+
+    def __init__(self, port: int) -> None:
+        # without a larger window than HTTP/2's first, what is not read is soon not taken either
+        options = [("grpc.max_receive_message_length", -1), ("grpc.http2.bdp_probe", 0)]
+        self._channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=options)
+        self.call: Any = self._channel.stream_stream(METHOD)()
+        self.probes = 0
+
+    async def join(self, name: str, epoch: Epoch = NO_EPOCH, applied: int = 0) -> None:
+        await self.call.write(codec.encode_from(Join(name, "boot", epoch, applied, "")))
+
+    async def probe(self, epoch: Epoch = NO_EPOCH, applied: int = 0) -> None:
+        self.probes += 1
+        await self.call.write(codec.encode_from(Progress(epoch, applied, self.probes, applied, "")))
+
+    async def code(self) -> Any:
+        return await self.call.code()
+
+    async def close(self) -> None:
+        self.call.cancel()
+        await self._channel.close()
+
+
+class Failures(RelayCase):
+    async def test_a_relay_killed_between_receiving_a_batch_and_passing_it_on(self) -> None:
+        """Nothing is lost or out of order, and nothing is called done before all have it."""
         source, source_port = await self.source()
-        (first, first_port), (second, second_port) = [
-            await self.relay(name, source_port) for name in ("a", "b")
-        ]
-        routers = [
-            self.router("r1", first_port),
-            self.router("r2", second_port),
-            self.router("r3", first_port),
-        ]
-        for router in routers:
-            await self.until(lambda router=router: router.current, "a lease")  # type: ignore[misc]
-        self.purge(100)
+        _, second = await self.relay("b", source_port)
+
+        first = DyingRelay(RelayOptions([at(source_port)], "127.0.0.1:0", "a", "north"))
+        first_port = await self.node(first)
+        routers = [self.router(f"r{n}", first_port, second) for n in range(3)]
+        await self.all_current(*routers)
+        self.purge(20)
+        await self.all_told(*routers)
+        first.dying = True
+        self.purge(20)
+        while not all(self.keys[-1] in router.purged for router in routers):
+            self.check_done(source, routers)
+            await asyncio.sleep(0.01)
         for router in routers:
-            await self.until(lambda router=router: len(router.purged) >= 103, "all purges")  # type: ignore[misc]
             self.assertEqual(router.purged, self.keys)
+            self.assertEqual(router.client.relay.address, f"127.0.0.1:{second}")
         head = source.log.head
+
+        def done() -> bool:
+            self.check_done(source, routers)
+            return source.fanout.done(clock.source.steady_us()) == head
+
+        await self.until(done, "done everywhere")
+        self.assertEqual([router.follower.applied for router in routers], [head] * 3)
+
+    def check_done(self, source: SourceNode, routers: list[Router]) -> None:
+        done = source.fanout.done(clock.source.steady_us())
+        for router in routers:
+            if router.current:
+                self.assertLessEqual(done, router.follower.applied)
+
+    async def test_a_follower_that_reads_nothing_holds_up_nobody(self) -> None:
+        source, port = await self.source()
+        router = self.router("r1", port)
+        stuck = RawFollower(port)
+        self.addAsyncCleanup(stuck.close)
+        await self.all_current(router)
+        await stuck.join("stuck")
+        await stuck.probe()
+        stream = await self.stream(source, "stuck")
+
+        self.large_change()
+        await self.until(lambda: stream.writing, "a write that does not come through")
+        for _ in range(5):
+            await stuck.probe()
+            self.large_change()
+            self.purge(3)
+            await self.all_told(router)
+        self.assertEqual(router.purged, self.keys)
+        self.assertTrue(stream.writing)
+
+        # it says nothing more: its stream is ended although a write is under way on it
+        await self.until(lambda: stream not in source.service._streams.values(), "the stream is gone")
+        self.assertEqual(source.service.counters.lapses, 1)
+        self.purge(3)
+        await self.all_told(router)
+        self.assertEqual(router.purged, self.keys)
+
+    def large_change(self) -> None:
+        self.changes.tell(fleet={"revision": 1, "members": [], "padding": "x" * 200_000})
+
+    async def stream(self, source: SourceNode, name: str) -> Stream:
+        streams = source.service._streams
+        await self.until(lambda: any(s.name == name for s in streams.values()), f"{name} joins")
+        return next(s for s in streams.values() if s.name == name)
+
+    async def test_one_that_reads_again_gets_the_rest(self) -> None:
+        source, port = await self.source()
+        slow = RawFollower(port)
+        self.addAsyncCleanup(slow.close)
+        await slow.join("slow")
+        stream = await self.stream(source, "slow")
+        epoch = source.log.epoch
+        await slow.probe()
+        self.large_change()
+        await self.until(lambda: stream.writing, "a write that does not come through")
+        for _ in range(20):
+            self.large_change()
+            self.purge(3)
+            await slow.probe()
+            await asyncio.sleep(0.02)  # so that they do not all come in one batch
+        told: list[str] = []
+        applied = 0
+        async with asyncio.timeout(30.0):
+            while not told or told[-1] != self.keys[-1]:
+                message = codec.decode(await slow.call.read())
+                if isinstance(message, Batch):
+                    self.assertLessEqual(message.first, applied + 1)
+                    entries, applied = message.entries, message.last
+                else:
+                    assert not isinstance(message, ConfigurationChange)
+                    entries, applied = message.purges, message.applied
+                told += [entry.key for entry in entries if hasattr(entry, "key")]
+                await slow.probe(epoch, applied)
+        self.assertEqual(told, self.keys)
+
+    async def test_a_cut_longer_than_the_log_ends_with_a_snapshot(self) -> None:
+        source, source_port = await self.source()
+        relay, relay_port = await self.relay("a", source_port, log_entries=20)
+        wire = await self.wire(relay_port)
+        router = self.router("r1", wire.port)
+        await self.all_current(router)
+        self.purge(5)
+        await self.all_told(router)
+        wire.to_follower = wire.to_node = False
+        missed = self.purge(60)
+        await self.until(lambda: relay.follower.applied == source.log.head == 65, "the relay has all")
+        wire.to_follower = wire.to_node = True
+        await self.all_told(router)
+        self.assertEqual(len(router.snapshots), 2)  # the first, and that after the cut
+        self.assertLessEqual(set(missed), {purge.key for purge in router.snapshots[1].purges})
+        self.assertEqual(router.follower.applied, 65)
+        self.purge(5)
+        await self.all_told(router)
+        self.assertEqual(router.purged[-5:], self.keys[-5:])
+
+    async def test_one_whose_acknowledgements_are_lost_is_waited_for_until_its_lease_has_lapsed(self) -> None:
+        source, port = await self.source()
+        wire = await self.wire(port)
+        router, other = self.router("deaf", wire.port), self.router("well", port)
+        await self.all_current(router, other)
+        wire.to_node = False
+        self.purge(5)
+        head = 5
+        await self.until(lambda: source.log.head == head, "the purges are numbered")
+        await self.until(lambda: other.follower.applied == head, "one has them")
         await self.until(lambda: source.fanout.done(clock.source.steady_us()) == head, "done everywhere")
+        self.assertTrue(not router.current or router.follower.applied == head)
+
+    async def test_a_source_that_is_started_again_is_followed_in_its_new_epoch(self) -> None:
+        port = peers.free_port()
+        first = SourceNode(self.source_options(f"127.0.0.1:{port}"))
+        await self.node(first)
+        relay, relay_port = await self.relay("a", port)
+        router = self.router("r1", relay_port)
+        await self.all_current(router)
+        self.purge(5)
+        await self.all_told(router)
+        before = router.follower.epoch
+        first.stop()
+        await self.until(lambda: not first.service._streams, "it has ended")
+        self.purge(5)
+        second = SourceNode(self.source_options(f"127.0.0.1:{port}"))
+        await self.node(second)
+        await self.until(lambda: router.follower.epoch == second.log.epoch, "the new epoch")
+        self.assertGreater(router.follower.epoch, before)
+        self.purge(5)
+        await self.all_told(router)
+        self.assertLessEqual(set(self.keys), set(router.purged))
+        self.assertEqual(relay.log.epoch, second.log.epoch)
+
+    async def test_a_source_that_hears_of_a_newer_one_ends(self) -> None:
+        source = SourceNode(self.source_options("127.0.0.1:0"))
+        serving: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        running = asyncio.ensure_future(source.run(serving.set_result))
+        late = RawFollower(await serving)
+        self.addAsyncCleanup(late.close)
+        newer = Epoch(source.log.epoch.term + 1, 1)
+        await late.join("late", newer, 7)
+        with self.assertLogs("magpieshift.relay", logging.ERROR), self.assertRaises(SourceSuperseded):
+            await running
+        self.assertIs(await late.code(), grpc.StatusCode.FAILED_PRECONDITION)
+
+
+class Words(RelayCase):
+    """What is said on streams that cannot be."""
+
+    async def test_a_malformed_message_of_a_follower_ends_its_stream_alone(self) -> None:
+        source, port = await self.source()
+        router = self.router("r1", port)
+        await self.all_current(router)
+        hello = wire.FromRouter(hello=wire.Hello(router="r")).SerializeToString()
+        progress = codec.encode_from(Progress(NO_EPOCH, 0, 1, 0, ""))
+        for data in (b"\xff\xff", b"", hello, progress):
+            bad = RawFollower(port)
+            with self.assertLogs("magpieshift.relay.service", logging.WARNING) as logged:
+                await bad.call.write(data)
+                self.assertIs(await bad.code(), grpc.StatusCode.INVALID_ARGUMENT)
+            self.assertEqual(len(logged.records), 1)
+            self.assertIn("found", await bad.call.details())
+            await bad.close()
+        self.assertEqual(source.service.counters.refused, 4)
+        self.purge(5)
+        await self.all_told(router)
+
+    async def test_a_malformed_message_of_a_relay_is_one_line_and_nothing_is_applied_or_lost(self) -> None:
+        _, port = await self.source()
+        for garbage in (b"\xff\xff\xff", codec.encode(Batch(Epoch(1 << 60, 1), 1, (), None))[:-1],
+                        b"x" * (codec.MOST_SNAPSHOT_BYTES + 1)):  # fmt: skip
+            with self.subTest(len(garbage)):
+                liar = await self.liar(garbage)
+                with self.assertLogs("magpieshift.relay.client", logging.WARNING) as logged:
+                    router = self.router(f"r{len(garbage)}", liar, port)
+                    await self.all_current(router)
+                events = [record.getMessage() for record in logged.records]
+                self.assertEqual(events, ["malformed message"])
+                self.assertEqual(router.follower.heard.term < 1 << 60, True)
+                self.purge(5)
+                await self.all_told(router)
+                self.assertEqual(router.purged, self.keys)
+
+    async def liar(self, garbage: bytes) -> int:
+        """A relay that sends this to everyone."""
+
+        class Handler(grpc.GenericRpcHandler):  # type: ignore[misc]
+            def service(self, details: Any) -> Any:
+                return grpc.stream_stream_rpc_method_handler(follow)
+
+        async def follow(requests: AsyncIterator[bytes], context: Any) -> None:
+            await context.write(garbage)
+            with contextlib.suppress(grpc.aio.BaseError):
+                async for _ in requests:
+                    pass
+
+        server = grpc.aio.server(options=[("grpc.max_send_message_length", -1)])
+        server.add_generic_rpc_handlers((Handler(),))
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        self.addAsyncCleanup(server.stop, 0)
+        return int(port)
+
+
+class Versions(RelayCase):
+    async def test_versions_pass_as_deltas_encoded_once_and_whole_on_request(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.publish(folder, 1, {"a": {"b": 1}, "c": [1, 2]})
+            source, source_port = await self.source(folder)
+            relay, relay_port = await self.relay("a", source_port)
+            routers = [self.router(f"r{n}", relay_port) for n in range(3)]
+            await self.all_current(*routers)
+            self.publish(folder, 2, {"a": {"b": 2}, "c": [1, 2]})
+            for router in routers:
+                await self.until(lambda router=router: bool(router.entries), "a version")  # type: ignore[misc]
+        for router in routers:
+            whole = router.snapshots[0].configuration
+            assert whole is not None
+            self.assertEqual((whole.number, whole.base_digest), (1, ""))
+            (change,) = router.entries
+            assert isinstance(change, ConfigurationChange)
+            self.assertEqual((change.number, change.base_digest), (2, whole.digest))
+        self.assertEqual(relay.service.counters.entries, 3)
+
+        # one that could not use the delta asks for the whole
+        routers[0].follower.want_whole = True
+        await self.until(lambda: bool(routers[0].whole), "the whole version")
+        found = routers[0].whole[0]
+        data = sexp.read(found.content.decode()).data
+        self.assertEqual((found.number, found.digest, data["a"]), (2, sexp.digest(data), {"b": 2}))
+
+    def publish(self, folder: str, number: int, data: dict[str, Any]) -> None:
+        part = Path(folder) / f"{number}.new"
+        part.write_text(sexp.write(data))
+        part.rename(Path(folder) / f"{number}.sexp")
+
+
+class Reading(RelayCase):
+    """How current a source is by its reading of the change log."""
+
+    async def test_a_source_is_no_more_current_than_the_log_it_hears(self) -> None:
+        wire = await self.wire(self.changes.port)
+        source = SourceNode(self.source_options("127.0.0.1:0", log_port=wire.port))
+        await self.node(source)
+
+        def age_us() -> int | None:
+            return source._age_us(clock.source.steady_us())
+
+        await self.until(lambda: age_us() is not None, "the log has told its history")
+        cut_us = clock.source.steady_us()
+        wire.to_follower = False
+        await self.until(lambda: (age_us() or 0) > 3_000_000, "it grows old")
+        # it never claims to know of anything after the cut, whatever it does to reconnect
+        self.assertGreaterEqual(age_us() or 0, clock.source.steady_us() - cut_us)
+        wire.to_follower = True
+        await self.until(lambda: (age_us() or 1 << 60) < 2_000_000, "it is current again")
+
+    async def test_an_event_that_comes_late_makes_it_older_for_a_while(self) -> None:
+        source, _ = await self.source()
+        await self.until(lambda: source._reader.told, "the history")
+        late_ms = int(time.time() * 1000) - 60_000
+        self.changes.tell(invalidate={"object": "0" * 15 + "1", "time": late_ms})
+        await self.until(lambda: source.log.head == 1, "the purge")
+        self.assertGreaterEqual(source._age_us(clock.source.steady_us()) or 0, 60_000_000)
+        self.assertFalse(source.fanout.fit(clock.source.steady_us()))
+
+    def test_delays_are_forgotten(self) -> None:
+        delays = Delays()
+        delays.note(-5, 0)
+        self.assertEqual(delays.largest_us(0), 0)
+        delays.note(70, 1)
+        delays.note(20, 6_000_000)
+        self.assertEqual(delays.largest_us(6_000_001), 70)
+        self.assertEqual(delays.largest_us(10_000_000), 20)
+        self.assertEqual(delays.largest_us(21_000_000), 0)
+
+    async def test_what_cannot_be_passed_on_is_one_line_and_the_rest_goes_on(self) -> None:
+        source, _ = await self.source()
+        await self.until(lambda: source._reader.told, "the history")
+        now_ms = int(time.time() * 1000)
+        bad: list[dict[str, Any]] = [
+            {"fleet": {"members": [], "padding": "x" * (1 << 20)}},
+            {"invalidate": {"bucket": 1 << 70, "time": now_ms}},
+            {"invalidate": {"object": "zz", "time": now_ms}},
+            {"invalidate": {"object": "a", "time": -5}},
+        ]
+        with self.assertLogs("magpieshift.feed", logging.WARNING) as logged:
+            for event in bad:
+                self.changes.tell(**event)
+            self.purge(1)
+            await self.until(lambda: source.log.head >= 1, "the purge")
+        self.assertEqual(len(logged.records), len(bad))
+        self.assertEqual(source.log.head, 1)
 
 
 if __name__ == "__main__":
