--- a/magpieshift/cli/relays.py
+++ b/magpieshift/cli/relays.py
@@ -10,14 +10,13 @@
 import click
 
 from magpieshift.cli.hinting import JSON, Hinting
-from magpieshift.cli.logs import setup
+from magpieshift.cli.logs import LOG, setup
+from magpieshift.cli.parameters import Address
 from magpieshift.config import ConfigError, address
 
-LOG = click.option(
-    "--log", "log_form", type=click.Choice(["pairs", "json"]), default="pairs", envvar="EDGE_LOG",
-    help="Form of the log's lines.  [pairs]",
-)  # fmt: skip
-LISTEN = click.option("--listen", required=True, help="host:port for relays and routers.")
+LISTEN = click.option(
+    "--listen", required=True, type=Address(any_port=True), help="host:port for relays and routers."
+)
 SHOWN_DIGEST = 12  # characters
 
 EXAMPLES = """\b
@@ -37,7 +36,7 @@
 @relay.command(
     epilog="\b\nExample:\n  magpieshift relay source --changelog 10.0.0.1:7070 --listen 0.0.0.0:7090"
 )
-@click.option("--changelog", required=True, help="host:port of the change log.")
+@click.option("--changelog", required=True, type=Address(), help="host:port of the change log.")
 @click.option("--versions", default="", help="Folder of configuration versions (files NUMBER.sexp).")
 @LISTEN
 @click.option("--name", default="source", show_default=True)
@@ -47,7 +46,6 @@
     """Number what the change log and a folder of versions tell, and serve it to relays."""
     from magpieshift.relay.node import SourceNode, SourceOptions
 
-    _checked(listen, "--listen")
     if versions and not Path(versions).is_dir():
         raise ConfigError(f"--versions: found {versions!r}, expected a folder")
     options = SourceOptions(address(changelog, "--changelog"), listen, versions, name, region)
@@ -67,18 +65,13 @@
     from magpieshift.relay.node import RelayNode, RelayOptions
     from magpieshift.relay.settings import read_relays
 
-    _checked(listen, "--listen")
     if not name:
-        raise ConfigError("--name: found nothing, expected a name")
+        raise click.UsageError("--name: found nothing, expected a name")
     options = RelayOptions(read_relays(sources, region, "--source"), listen, name, region)
     setup(log_form)
     _run(lambda: RelayNode(options))
 
 
-def _checked(listen: str, what: str) -> None:
-    address(listen, what)
-
-
 def _run(make: Any) -> None:
     """Run a node until it is told to end."""
     from magpieshift.relay.node import SourceSuperseded
@@ -97,16 +90,15 @@
 
 
 @relay.command("status", epilog="\b\nExample:\n  magpieshift relay status 10.0.1.1:7091")
-@click.argument("place", metavar="HOST:PORT")
+@click.argument("place", metavar="HOST:PORT", type=Address())
 @JSON
 def status_(place: str, as_json: bool) -> None:
     """How far behind is whom, as a source or relay tells it; exit code 1 where it does not."""
     from magpieshift.cli import show
     from magpieshift.relay import status
 
-    host, port = address(place, "HOST:PORT")
     try:
-        report = asyncio.run(status.ask(f"{host}:{port}"))
+        report = asyncio.run(status.ask(place))
     except status.Unreachable as err:
         raise click.ClickException(f"{place}: {err}") from err
     if as_json:
--- a/magpieshift/cli/router.py
+++ b/magpieshift/cli/router.py
@@ -38,6 +38,10 @@
     type=Whole(-1, 1 << 53),
     help="Of the rollout that starts it; -1: none.",
 )
+@click.option(
+    "--relays", envvar="EDGE_RELAYS", default="", help="[REGION/]host:port,... to follow, not the change log."
+)
+@click.option("--region", envvar="EDGE_REGION", default="", help="Where it stands; its relays come first.")
 @LOG
 def run_(
     config: str,
@@ -51,6 +55,8 @@
     hash_key: str,
     label: str,
     term: int,
+    relays: str,
+    region: str,
     log_form: str,
 ) -> None:
     """Run an edge router, with versions kept and followed where it is told to."""
@@ -58,8 +64,9 @@
 
     setup(log_form)
     options = Options(
-        config, state, control, name, listen, console, capture, capture_mb, hash_key, label, term
-    )
+        config, state, control, name, listen, console, capture, capture_mb, hash_key, label, term,
+        relays, region,
+    )  # fmt: skip
     try:
         run(options)
     except OSError as err:
--- /dev/null
+++ b/magpieshift/installation/relayed.py
@@ -0,0 +1,175 @@
+"""Following the fan-out tier's relays in place of the change log, as a fitting of a router."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import secrets
+from collections.abc import Callable, Mapping, Sequence
+
+from magpieshift import clock
+from magpieshift.app import EdgeRouter
+from magpieshift.control.keeper import Keeper
+from magpieshift.control.ledger import Answer, Reason
+from magpieshift.control.sexp import Unusable
+from magpieshift.installation.fitting import Plain
+from magpieshift.lifecycle import State
+from magpieshift.log import fields
+from magpieshift.relay import configuration
+from magpieshift.relay.client import RelayClient
+from magpieshift.relay.follower import Apply, Follower
+from magpieshift.relay.messages import ConfigurationChange, Entry, Purge, Snapshot, StoreChange
+from magpieshift.relay.selection import Relay, Selection, rank
+
+log = logging.getLogger(__name__)
+
+MOST_REFUSAL = 200  # characters of the reason that the relay is told
+
+
+class Changes:
+    """A router's source of changes (``feed.changes.ChangeSource``): what the relay tells, put into the
+    router."""
+
+    def __init__(
+        self, router: EdgeRouter, follower: Follower, selection: Selection,
+        offer: Callable[[ConfigurationChange], None],
+    ) -> None:  # fmt: skip
+        self._router, self._offer = router, offer
+        self.client = RelayClient(follower, selection, self)
+
+    # --- as the router's source of changes
+
+    def start(self) -> None:
+        """Follow."""
+        self.client.start()
+
+    def stop(self) -> None:
+        """Tell the router nothing more. The fitting's end closes the stream."""
+        self.client.stop_receiving()
+
+    async def caught_up(self, within_s: float) -> bool:
+        """Wait, so many seconds at most, for a first lease; whether there is one."""
+        try:
+            async with asyncio.timeout(within_s):
+                await self.client.caught_up.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    # --- as the client's receiver
+
+    def apply(self, batch: Apply) -> None:
+        """Put a batch in force; the router decides by it from here on."""
+        for entry in batch.entries:
+            self._take(entry)
+        self._router.engine.flush()
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Put in force what a snapshot says."""
+        if snapshot.stores:
+            self._take(StoreChange(snapshot.stores))
+        for purge in snapshot.purges:
+            self._take(purge)
+        if snapshot.configuration is not None:
+            self._take(snapshot.configuration)
+        self._router.engine.flush()
+
+    def take_configuration(self, change: ConfigurationChange) -> None:
+        """A whole version, which was asked for."""
+        self._offer(change)
+
+    def _take(self, entry: Entry) -> None:
+        match entry:
+            case Purge(key, group, made_us):
+                self._router.purged(key, group, made_us)
+            case StoreChange(fleet):
+                self._take_stores(fleet)
+            case ConfigurationChange():
+                self._offer(entry)
+
+    def _take_stores(self, fleet: str) -> None:
+        """A list of stores; what cannot be read is logged in one line and changes nothing, as on the change
+        log."""
+        try:
+            self._router.changes.take_list(json.loads(fleet), first=False)
+        except Exception as err:
+            log.warning("unreadable change", extra=fields(reason=f"{type(err).__name__}: {err}"[:200]))
+
+
+class Relayed(Plain):
+    """Owner of a router's place in the fan-out tier, and of the versions that it brings."""
+
+    fitting = "relays"
+
+    def __init__(
+        self, router: EdgeRouter, keeper: Keeper, relays: Sequence[Relay], region: str, name: str
+    ) -> None:
+        self._keeper, self._lifecycle = keeper, router.lifecycle
+        self._follower = Follower(name, secrets.token_hex(4))
+        self._follower.configuration = keeper.in_force.digest
+        selection = Selection(rank(name, region, relays), random.Random())
+        self._changes = Changes(router, self._follower, selection, self._offer)
+        self._early: list[ConfigurationChange] | None = []  # until the router serves
+        router.change_source = self._changes
+        router.engine.copy_age_limit = self._copy_age_limit
+        router.lifecycle.watchers.append(self._went)
+        keeper.listeners.append(self._answered)
+
+    def calls(self) -> Mapping[str, Callable[[], str]]:
+        return {"RELAY": self._line}
+
+    async def end(self) -> None:
+        self._keeper.listeners.remove(self._answered)
+        await self._changes.client.stop()
+
+    def _copy_age_limit(self) -> int:
+        return self._follower.currency.copy_age_limit(clock.source.steady_us())
+
+    def _line(self) -> str:
+        """Where the router stands, for operators."""
+        follower, now_us = self._follower, clock.source.steady_us()
+        return json.dumps({
+            "relay": self._changes.client.relay.address, "epoch": follower.epoch.term,
+            "applied": follower.applied, "done": follower.done,
+            "age_us": follower.currency.age_us(now_us), "leased": follower.currency.lease_held(now_us),
+        })  # fmt: skip
+
+    # --- versions
+
+    def _went(self, state: State) -> None:
+        """Versions come into force once the router serves."""
+        if state == State.SERVING and self._early is not None:
+            early, self._early = self._early, None
+            for change in early:
+                self._offer(change)
+
+    def _offer(self, change: ConfigurationChange) -> None:
+        if self._early is not None:
+            # a whole version makes those before it needless
+            self._early = [*(self._early if change.base_digest else []), change]
+            return
+        try:
+            self._keeper.offer(configuration.offer(change))
+        except Unusable as err:
+            log.warning("version turned down", extra=fields(version=change.number, reason=err))
+            self._refuse(change.number, str(err), want_whole=bool(change.base_digest))
+
+    def _answered(self, answer: Answer, apply_us: int, pause_us: int) -> None:
+        """What became of a version, whoever offered it."""
+        follower = self._follower
+        follower.configuration = self._keeper.in_force.digest
+        if answer.offer.source != configuration.OFFERED_BY:
+            return
+        if answer.accepted:
+            if answer.offer.number >= follower.refused:
+                follower.refused, follower.refusal = 0, ""
+        elif answer.reason is not Reason.SUPERSEDED:
+            why = f"{answer.reason.name.lower()}: {answer.detail}"
+            self._refuse(answer.offer.number, why, answer.want_full)
+
+    def _refuse(self, number: int, why: str, want_whole: bool) -> None:
+        follower = self._follower
+        follower.refused, follower.refusal = number, why[:MOST_REFUSAL]
+        follower.want_whole = follower.want_whole or want_whole
--- a/magpieshift/installation/runner.py
+++ b/magpieshift/installation/runner.py
@@ -40,6 +40,8 @@
     hash_key: str = ""  # a file with a key: object numbers become hashes under it
     label: str = ""  # what this process runs, as a rollout names it; its figures carry it
     term: int = -1  # of the rollout that starts it; where it is given, calls of older terms are turned down
+    relays: str = ""  # [REGION/]host:port,...: followed in place of the change log
+    region: str = ""  # where the router stands; relays of the same region are followed before others
 
     @property
     def overrides(self) -> Overrides:
@@ -99,6 +101,12 @@
             from magpieshift.installation.following import Following
 
             self.fittings.append(Following(self.router, self.keeper, options.control, self._name))
+        if options.relays:
+            from magpieshift.installation.relayed import Relayed
+            from magpieshift.relay.settings import read_relays
+
+            relays = read_relays(options.relays, options.region, "relays")
+            self.fittings.append(Relayed(self.router, self.keeper, relays, options.region, self._name))
         if document.members is not None:
             from magpieshift.installation.membership import Membership
 
--- a/magpieshift/relay/client.py
+++ b/magpieshift/relay/client.py
@@ -116,7 +116,7 @@
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
         self._former: Connection | None = None  # that before a planned move, until it is told farewell
-        self._told_lost = False
+        self._told_lost, self._receiving = False, True
         self.caught_up = asyncio.Event()  # set once the process has been current
 
     @property
@@ -128,6 +128,10 @@
         """Follow, until ``stop``."""
         self._task = asyncio.ensure_future(self._run())
 
+    def stop_receiving(self) -> None:
+        """Take in, and acknowledge, nothing more."""
+        self._receiving = False
+
     async def stop(self) -> None:
         """Give up the lease, where no followers of this process may still hold one, and close."""
         if self._task is None:
@@ -219,6 +223,8 @@
         """Take in what the relay sends, each message in one turn."""
         found = False
         while (data := await connection.read()) is not None:
+            if not self._receiving:
+                continue
             message = decode(data)
             now_us = clock.source.steady_us()
             for effect in self._follower.receive(message, now_us):
--- a/magpieshift/relay/codec.py
+++ b/magpieshift/relay/codec.py
@@ -72,7 +72,10 @@
 
 def encode_proof(proof: Proof) -> bytes:
     """What is appended to the bytes of a batch to give it this proof."""
-    said = wire.Proof(probe=proof.probe, age_us=proof.age_us, head=proof.head, done=proof.done)
+    said = wire.Proof(
+        probe=proof.probe, age_us=proof.age_us, head=proof.head, done=proof.done,
+        source_age_us=proof.source_age_us,
+    )  # fmt: skip
     return bytes(wire.FromControl(batch=wire.Batch(proof=said)).SerializeToString())
 
 
@@ -187,7 +190,7 @@
     proof = None
     if batch.HasField("proof"):
         said = batch.proof
-        proof = Proof(said.probe, said.age_us, said.head, said.done)
+        proof = Proof(said.probe, said.age_us, said.head, said.done, said.source_age_us)
     epoch = _read_given_epoch(batch, "batch epoch")
     return Batch(epoch, batch.first, tuple(entries), proof, batch.waiting)
 
--- a/magpieshift/relay/node.py
+++ b/magpieshift/relay/node.py
@@ -17,7 +17,7 @@
 from magpieshift.relay.client import RelayClient
 from magpieshift.relay.fanout import Fanout
 from magpieshift.relay.follower import Apply, Follower
-from magpieshift.relay.limits import MOST_LOG_ENTRIES, lapse_us
+from magpieshift.relay.limits import MOST_LOG_ENTRIES, RELAY_FAILOVER_MOST_S, lapse_us
 from magpieshift.relay.log import SequencedLog
 from magpieshift.relay.messages import NO_EPOCH, ConfigurationChange, Entry, Epoch, Snapshot
 from magpieshift.relay.selection import Relay, Selection, rank
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 COUNTERS_S = 10.0  # between two lines with the counters
+LOOK_S = 0.05  # between two looks whether a relay may begin to serve
 
 
 class SourceSuperseded(Exception):
@@ -74,7 +75,8 @@
     def _superseded(self, epoch: Epoch) -> None:
         raise NotImplementedError
 
-    def _age_us(self, now_us: int) -> int | None:
+    def age_us(self, now_us: int) -> int | None:
+        """How current the process is; None where that is not known."""
         raise NotImplementedError
 
     @property
@@ -87,7 +89,7 @@
         now_us = clock.source.steady_us()
         return status.report(
             self.name, self.region, self.upstream, self.log, self.state, self.fanout, self.service.counters,
-            self._age_us(now_us), now_us,
+            self.age_us(now_us), now_us,
         )  # fmt: skip
 
     def stop(self) -> None:
@@ -103,7 +105,7 @@
             slowest = max(followers, key=lambda each: each.behind, default=None)
             log.info("counters", extra=fields(
                 **asdict(self.service.counters), followers=len(followers), head=self.log.head,
-                done=self.fanout.done(now_us), age_us=self._age_us(now_us),
+                done=self.fanout.done(now_us), age_us=self.age_us(now_us),
                 slowest=slowest.name if slowest is not None else "",
                 slowest_behind=slowest.behind if slowest is not None else 0,
             ))  # fmt: skip
@@ -156,9 +158,10 @@
 
     def _make_fanout(self) -> Fanout:
         counts_from_us = clock.source.steady_us() + lapse_us()
-        return Fanout(self.log, self.state, self._age_us, counts_from_us=counts_from_us)
+        return Fanout(self.log, self.state, self.age_us, counts_from_us=counts_from_us)
 
-    def _age_us(self, now_us: int) -> int | None:
+    def age_us(self, now_us: int) -> int | None:
+        """How current the process is; None where that is not known."""
         return self._reader.age_us(now_us)
 
     def _append(self, entry: Entry) -> None:
@@ -178,22 +181,19 @@
         self._options = options
         self.follower = Follower(options.name, secrets.token_hex(4))
         super().__init__(options, NO_EPOCH)
-        selection = Selection(rank(options.name, options.region, options.sources), rand or random.Random())
+        ranked = rank(options.name, options.region, options.sources)
+        selection = Selection(ranked, rand or random.Random(), RELAY_FAILOVER_MOST_S)
         self.client = RelayClient(self.follower, selection, self, self.fanout.report)
 
     async def run(self, ready: Callable[[int], None] = lambda port: None) -> None:
-        """Serve until ``stop``, from the time on at which it is current; ``OSError`` where it cannot
-        listen."""
+        """Serve until ``stop``, once it has what the source has; ``OSError`` where it cannot listen."""
         self.client.start()
-        current = asyncio.ensure_future(self.client.caught_up.wait())
-        ended = asyncio.ensure_future(self._ended.wait())
         try:
-            await asyncio.wait([current, ended], return_when=asyncio.FIRST_COMPLETED)
+            while not self._ended.is_set() and not self.fanout.fit(clock.source.steady_us()):
+                await asyncio.sleep(LOOK_S)
             if not self._ended.is_set():
                 await self._serve(self._options.listen, ready)
         finally:
-            current.cancel()
-            ended.cancel()
             await self.service.stop()
             await self.client.stop()
 
@@ -203,9 +203,13 @@
 
     def _make_fanout(self) -> Fanout:
         follower = self.follower
-        return Fanout(self.log, self.state, self._age_us, done_everywhere=lambda: follower.done)
+        return Fanout(
+            self.log, self.state, self.age_us, done_everywhere=lambda: follower.done,
+            link_age=follower.currency.epoch_link_age_us,
+        )  # fmt: skip
 
-    def _age_us(self, now_us: int) -> int | None:
+    def age_us(self, now_us: int) -> int | None:
+        """How current the process is; None where that is not known."""
         return self.follower.currency.epoch_age_us(now_us)
 
     def _superseded(self, epoch: Epoch) -> None:
