--- a/magpieshift/relay/settings.py
+++ b/magpieshift/relay/settings.py
@@ -19,5 +19,8 @@
     given, slash, place = word.rpartition("/")
     if not place or (slash and not given):
         raise ConfigError(f"{what}: found {word!r}, expected [REGION/]HOST:PORT")
-    host, port = address(place, what)
+    try:
+        host, port = address(place, what)
+    except ConfigError:
+        raise ConfigError(f"{what}: found {word!r}, expected [REGION/]HOST:PORT") from None
     return Relay(place, given or region, f"{host}:{port}")
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -55,6 +55,7 @@
     "run": [
         ("", "no settings"), ("--config {none}", "{none}"), ("--config {folder}", "{folder}"),
         ("--config {bytes}", "{bytes}"), ("--config {text}", "{text}"),
+        ("--config {good} --relays nowhere", "relays: found 'nowhere'"),
         ("--config {good} --control nowhere", "--control: found 'nowhere', expected host:port"),
         ("--config {good} --listen 127.0.0.1:65536", "--listen: found"),
         ("--config {good} --console :1", "--console: found"), ("--config {good} --term -2", "--term: found"),
@@ -84,6 +85,21 @@
     ],
     "members": DOORS,
     "talk": DOORS,
+    "relay source": [
+        ("--changelog nowhere --listen 127.0.0.1:0", "--changelog: found 'nowhere', expected host:port"),
+        ("--changelog {closed} --listen nowhere", "--listen: found 'nowhere'"),
+        ("--changelog {closed} --listen 127.0.0.1:0 --versions {none}", "{none}"),
+        ("--changelog {closed} --listen 127.0.0.1:0 --versions {text}", "{text}"),
+        ("--changelog {closed}", "--listen"), ("--listen 127.0.0.1:0", "--changelog"),
+    ],
+    "relay serve": [
+        ("--source nowhere --listen 127.0.0.1:0 --name n --region r", "--source"),
+        ("--source {closed} --listen nowhere --name n --region r", "--listen: found 'nowhere'"),
+        ("--source {closed} --listen 127.0.0.1:0 --region r", "--name"),
+        ("--source {closed} --listen 127.0.0.1:0 --name n", "--region"),
+        ("--source {closed},? --listen 127.0.0.1:0 --name n --region r", "--source"),
+    ],
+    "relay status": [("nowhere", "expected host:port"), ("", "HOST:PORT")],
     "rollout check": FILES,
     "rollout start": [
         *PLANS, ("{plan} --state {text}", "{text}"), ("{plan} --state {state}", "already"),
