--- a/magpieshift/feed/changes.py
+++ b/magpieshift/feed/changes.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger(__name__)
 
-LINE_EVERY_S = 1.0  # purges are logged together: a line for each is a fourth of what a purge costs
+LINE_EVERY_S = 1.0  # purges are logged together: a line for each is three tenths of what a purge costs
 
 PHASES = {"SERVING": api.Phase.READY, "DRAINING": api.Phase.DRAINING, "DELETED": api.Phase.GONE}
 
