Let the processes' test end where a part of it failed

A relay that a failed part had left stopped does not hear its SIGTERM, and the test waited without end.

--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -286,8 +286,11 @@
 
         with self.subTest("a planned end"):
             for name in ("router", first, "source"):
+                self.signal(name, signal.SIGCONT)  # where it was left stopped by what failed before
                 self.signal(name, signal.SIGTERM)
-                self.assertEqual(await self.processes[name].wait(), 0, self.log_of(name)[-2000:])
+                async with asyncio.timeout(PATIENCE_S):
+                    code = await self.processes[name].wait()
+                self.assertEqual(code, 0, self.log_of(name)[-2000:])
 
     async def followed(self) -> str:
         """The relay that the router follows."""
