--- a/tests/members/test_members.py
+++ b/tests/members/test_members.py
@@ -472,7 +472,7 @@
     def test_a_name_is_taken_in_only_once_it_answers_at_its_address(self) -> None:
         self.assertEqual(self.say(member("a")), 1)
         self.assertEqual(self.detector.view.count, 1)
-        number = next(iter(self.detector._open))
+        number = next(iter(self.detector._pings))
         self.say(member("a"), 2, Ack(number + 1))
         self.assertEqual(self.detector.view.count, 1)
         self.say(member("a"), 3, Ack(number))
@@ -484,7 +484,7 @@
 
     def test_a_replayed_datagram_does_nothing(self) -> None:
         self.say(member("a"))
-        self.say(member("a"), 3, Ack(next(iter(self.detector._open))))
+        self.say(member("a"), 3, Ack(next(iter(self.detector._pings))))
         before = self.detector.counters.replayed
         for serial in (4, 4, 3, 3, 2, 2):
             self.say(member("a"), serial, Ping(1))
@@ -506,7 +506,7 @@
 
     def test_accusations_by_nobody_known_remove_nobody(self) -> None:
         self.say(member("a"))
-        self.say(member("a"), 3, Ack(next(iter(self.detector._open))))
+        self.say(member("a"), 3, Ack(next(iter(self.detector._pings))))
         said = tuple(Accusation("a", 5, 99, f"liar{i}") for i in range(9))
         self.say(member("a"), 4, None, accusations=said)
         for turn in range(200):
