--- a/magpieshift/lab/proving/run.py
+++ b/magpieshift/lab/proving/run.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from magpieshift.lab.proving.ground import UP_S, Ground
+from magpieshift.lab.proving.doors import UP_S
+from magpieshift.lab.proving.ground import Ground
 from magpieshift.lab.proving.scenario import ON_ROUTERS, ON_WAYS, Fault, Run, written
 
 QUIET_S = 30.0  # after the last fault, within which all must agree
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -13,8 +13,7 @@
 from magpieshift.control import sexp
 from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
-from magpieshift.lab.proving.ground import CLIENTS, LOG
-from magpieshift.lab.proving.ways import ANY, ROUTERS
+from magpieshift.lab.proving.ways import ANY, CLIENTS, LOG, ROUTERS
 from magpieshift.lab.standins.emulated import places
 
 HEAD = "fleet-run"
--- a/magpieshift/lab/proving/trials.py
+++ b/magpieshift/lab/proving/trials.py
@@ -13,8 +13,8 @@
 
 from magpieshift.control import sexp
 from magpieshift.lab.proving import scenario
-from magpieshift.lab.proving.ground import LOG
 from magpieshift.lab.proving.scenario import AT_STORES, ON_ROUTERS, ON_WAYS, Fault, Run
+from magpieshift.lab.proving.ways import LOG
 
 # how often each is drawn, and how long it lasts in seconds
 KINDS: dict[str, tuple[int, float, float]] = {
--- a/magpieshift/lab/proving/ways.py
+++ b/magpieshift/lab/proving/ways.py
@@ -6,6 +6,10 @@
 from typing import Any
 
 ANY, ROUTERS = "*", "routers"
+LOG, CLIENTS = (
+    "log",
+    "clients",
+)  # ends besides the routers (r0, r1, ...) and the stores by place (box1, hub1, origin)
 
 
 def _names(end: str) -> tuple[str, ...]:
