Name failure reports and offloading for what they are

overload/news -> failure_reports (News -> FailureReports, Word -> FailureReport, Said -> Sighting, Digest.words -> reports), overload/relief -> offloading (Relief -> Offloading): clients are handed to neighbours, not shed. The wire's `words`, the settings' `hand-over` and the door's keys stay. No behaviour changes.

--- a/magpieshift/installation/talking.py
+++ b/magpieshift/installation/talking.py
@@ -17,7 +17,7 @@
 from magpieshift.members.driver import steady_us
 from magpieshift.members.view import Member
 from magpieshift.overload.codec import Malformed, decode, encode
-from magpieshift.overload.relief import FRESH_US
+from magpieshift.overload.offloading import FRESH_US
 from magpieshift.overload.talk import TURN_US, Talker
 from magpieshift.overload.trials import Seen
 from molecleat.heed import Allow, Leave
@@ -95,10 +95,10 @@
         self._router.engine.heed(turn.acts)
         self._log_acts([act.number for act in turn.acts if isinstance(act, Leave)],
                        {act.number for act in turn.acts if isinstance(act, Allow)}, seen)  # fmt: skip
-        if turn.relief_changed:
-            relief = self._talker.relief
-            log.warning("handing over" if relief.over else "no longer handing over",
-                        extra=fields(why=relief.why, handed=relief.handed))  # fmt: skip
+        if turn.offloading_changed:
+            offloading = self._talker.offloading
+            log.warning("handing over" if offloading.over else "no longer handing over",
+                        extra=fields(why=offloading.why, handed=offloading.handed))  # fmt: skip
         by_name = {member.name: member for member in here}
         for name, digest in turn.sends:
             self._membership.note(by_name[name], TOPIC, encode(digest))
@@ -112,7 +112,7 @@
         for number in left:
             if number not in self._left:
                 store = names[number]
-                said = self._talker.news.failing(store, steady_us())
+                said = self._talker.reports.failing(store, steady_us())
                 log.warning("store left to others", extra=fields(store=store, said_by=",".join(sorted(said))))
         for number in self._left - set(left):
             why = "tried here" if number in tried else "well again, or no news"
@@ -122,24 +122,25 @@
     def _hands_over(self, call: Call) -> bool:
         engine = self._router.engine
         number = engine.object_number(call.key)
-        return self._talker.relief.hands_over(number, call.repeat, engine.writes(call.cls))
+        return self._talker.offloading.hands_over(number, call.repeat, engine.writes(call.cls))
 
     def _line(self) -> str:
         """What is said and done, as one line of JSON."""
         now, talker = steady_us(), self._talker
         return json.dumps({
             "pressure": round(self._pressure(), 3), "rate": round(self._rate, 1),
-            "over": talker.relief.over, "share": round(talker.relief.share, 3),
-            "handed": talker.relief.handed, "why": talker.relief.why, "changes": talker.relief.changes,
+            "over": talker.offloading.over, "share": round(talker.offloading.share, 3),
+            "handed": talker.offloading.handed, "why": talker.offloading.why,
+            "changes": talker.offloading.changes,
             "failing": {
-                store: sorted(said) for store in sorted(talker.news.stores())
-                if (said := talker.news.failing(store, now))
+                store: sorted(said) for store in sorted(talker.reports.stores())
+                if (said := talker.reports.failing(store, now))
             },
             "left": sorted(
                 m.ident for m, *_ in self._router.engine.store_health() if m.entry.store in self._left
             ),
             "neighbours_fresh_s": FRESH_US / 1e6, "sent": talker.sent, "taken": talker.taken,
             "dropped": {
-                "malformed": self.malformed, "flooded": talker.flooded, "no_room": talker.news.dropped,
+                "malformed": self.malformed, "flooded": talker.flooded, "no_room": talker.reports.dropped,
             },
         }, separators=(",", ":"))  # fmt: skip
--- a/magpieshift/lab/simulated/talk.py
+++ b/magpieshift/lab/simulated/talk.py
@@ -7,7 +7,7 @@
 
 from magpieshift.lab.simulated.fleet import SECOND, Fleet, Router
 from magpieshift.overload.codec import Digest, decode, encode
-from magpieshift.overload.news import Word
+from magpieshift.overload.failure_reports import FailureReport
 from magpieshift.overload.talk import TURN_US, Talker
 from magpieshift.overload.trials import Seen
 
@@ -56,8 +56,10 @@
         router.engine.heed(turn.acts)
         sends = turn.sends
         if router.name in self._liars:
-            words = tuple(Word(store, router.name, True, 0) for store in self._fleet.stores.by_name)
-            sends = [(name, Digest(words, 0.0, 1e6)) for name in self._rand.sample(here, min(8, len(here)))]
+            reports = tuple(
+                FailureReport(store, router.name, True, 0) for store in self._fleet.stores.by_name
+            )
+            sends = [(name, Digest(reports, 0.0, 1e6)) for name in self._rand.sample(here, min(8, len(here)))]
         for name, digest in sends:
             data = encode(digest)
             self.sent += 1
--- a/magpieshift/overload/codec.py
+++ b/magpieshift/overload/codec.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import DecodeError
 
-from magpieshift.overload.news import MOST_TOLD, Word
+from magpieshift.overload.failure_reports import MOST_TOLD, FailureReport
 from magpieshift.overload.wire import overload_pb2 as wire
 
 MOST_BYTES = 1_100  # beside what else a datagram carries
@@ -18,32 +18,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Digest:
-    """What one router says: words it has seen or heard, and its own pressure, rate, and whether it hands
+    """What one router says: reports it has seen or heard, and its own pressure, rate, and whether it hands
     over."""
 
-    words: tuple[Word, ...] = ()
+    reports: tuple[FailureReport, ...] = ()
     pressure: float = 0.0
     rate: float = 0.0
     over: bool = False
 
 
 def encode(digest: Digest) -> bytes:
-    """As bytes, of ``MOST_BYTES`` at most: the oldest words give way."""
-    words = digest.words
+    """As bytes, of ``MOST_BYTES`` at most: the oldest reports give way."""
+    reports = digest.reports
     while True:
         out = wire.Digest(
             pressure=min(int(digest.pressure * 1000), 100_000),
             rate=min(int(digest.rate), 1 << 31),
             over=digest.over,
         )
-        for word in words:
+        for report in reports:
             out.words.add(
-                store=word.store, witness=word.witness, failing=word.failing, age_ms=word.age_us // 1000
+                store=report.store,
+                witness=report.witness,
+                failing=report.failing,
+                age_ms=report.age_us // 1000,
             )
         data = out.SerializeToString()
-        if len(data) <= MOST_BYTES or not words:
+        if len(data) <= MOST_BYTES or not reports:
             return data
-        words = words[: len(words) // 2]
+        reports = reports[: len(reports) // 2]
 
 
 def decode(data: bytes) -> Digest:
@@ -54,6 +57,6 @@
     except DecodeError as err:
         raise Malformed(f"digest: {err}") from err
     if len(raw.words) > 2 * MOST_TOLD:
-        raise Malformed(f"digest: found {len(raw.words)} words, expected at most {2 * MOST_TOLD}")
-    words = tuple(Word(w.store, w.witness, w.failing, w.age_ms * 1000) for w in raw.words)
-    return Digest(words, raw.pressure / 1000, float(raw.rate), raw.over)
+        raise Malformed(f"digest: found {len(raw.words)} reports, expected at most {2 * MOST_TOLD}")
+    reports = tuple(FailureReport(w.store, w.witness, w.failing, w.age_ms * 1000) for w in raw.words)
+    return Digest(reports, raw.pressure / 1000, float(raw.rate), raw.over)
--- a/magpieshift/overload/relief.py
+++ b/magpieshift/overload/offloading.py
@@ -32,7 +32,7 @@
     heard_us: int
 
 
-class Relief:
+class Offloading:
     """Whether a router is over, and what share of its requests it hands over."""
 
     def __init__(self, now_us: int = 0) -> None:
--- a/magpieshift/overload/talk.py
+++ b/magpieshift/overload/talk.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from magpieshift.overload.codec import Digest
-from magpieshift.overload.news import News
-from magpieshift.overload.relief import FRESH_US, LOW, Neighbour, Relief
+from magpieshift.overload.failure_reports import FailureReports
+from magpieshift.overload.offloading import FRESH_US, LOW, Neighbour, Offloading
 from magpieshift.overload.trials import Seen, Trials
 from molecleat.heed import Act
 
@@ -29,7 +29,7 @@
 
     acts: list[Act]
     sends: list[tuple[str, Digest]]
-    relief_changed: bool = False
+    offloading_changed: bool = False
 
 
 class Talker:
@@ -37,7 +37,9 @@
 
     def __init__(self, own: str, rand: random.Random, now_us: int = 0) -> None:
         self.own, self._random = own, rand
-        self.news, self.trials, self.relief = News(own), Trials(own, rand), Relief(now_us)
+        self.reports = FailureReports(own)
+        self.trials = Trials(own, rand)
+        self.offloading = Offloading(now_us)
         self.sent = self.taken = self.flooded = 0
         self._urgent = self._turns = self._taken_now = 0
         self._verdicts: dict[str, tuple[bool, bool]] = {}
@@ -50,9 +52,9 @@
             self.flooded += 1
             return
         self.taken += 1
-        self.news.take(digest.words, now_us)
+        self.reports.take(digest.reports, now_us)
         if mate and (digest.pressure or digest.rate):
-            self.relief.heard(sender, Neighbour(digest.pressure, digest.rate, digest.over, now_us))
+            self.offloading.heard(sender, Neighbour(digest.pressure, digest.rate, digest.over, now_us))
             if digest.pressure >= LOW or digest.over:
                 self._pressed_us = now_us
 
@@ -65,27 +67,27 @@
         ``mates`` those of its own place."""
         self._turns += 1
         self._taken_now = 0
-        self.news.forget(now_us)
+        self.reports.forget(now_us)
         for store, its in seen.items():
-            self.news.saw(store, its.failing, its.failed_us if its.failing else its.good_us, now_us)
+            self.reports.saw(store, its.failing, its.failed_us if its.failing else its.good_us, now_us)
         verdicts = {
-            store: (bool(self.news.failing(store, now_us) - {self.own}), self.news.well(store, now_us))
-            for store in self.news.stores()
+            store: (bool(self.reports.failing(store, now_us) - {self.own}), self.reports.well(store, now_us))
+            for store in self.reports.stores()
         }
         if verdicts != self._verdicts:
             self._verdicts, self._urgent = verdicts, URGENT_TURNS
-        acts = self.trials.judge(now_us, self.news, here, seen)
-        changed = self.relief.turn(now_us, pressure, rate, dict.fromkeys(mates))
+        acts = self.trials.judge(now_us, self.reports, here, seen)
+        changed = self.offloading.turn(now_us, pressure, rate, dict.fromkeys(mates))
         sends: list[tuple[str, Digest]] = []
         others = [name for name in here if name != self.own]
         if verdicts and others:
-            words = Digest(self.news.told(now_us))
+            digest = Digest(self.reports.told(now_us))
             many = min(len(others), FANOUT if self._urgent > 0 else 1)
-            sends += [(name, words) for name in self._random.sample(others, many)]
+            sends += [(name, digest) for name in self._random.sample(others, many)]
         self._urgent = max(0, self._urgent - 1)
         asked = self._pressed_us is not None and now_us - self._pressed_us < FRESH_US
-        if (pressure >= LOW or self.relief.over or asked) and self._turns % MATES_TURNS == 0:
-            own = Digest((), pressure, rate, self.relief.over)
+        if (pressure >= LOW or self.offloading.over or asked) and self._turns % MATES_TURNS == 0:
+            own = Digest((), pressure, rate, self.offloading.over)
             near = sorted(name for name in mates if name != self.own)
             sends += [(name, own) for name in self._random.sample(near, min(len(near), MATES))]
         self.sent += len(sends)
--- a/magpieshift/overload/trials.py
+++ b/magpieshift/overload/trials.py
@@ -1,11 +1,11 @@
 """Who tries a store that fails: a few of all the routers that could, and the others go by what those find.
-A state machine told news and the time; no I/O.
+A state machine told reports and the time; no I/O.
 
 The order is a hash of store and router, the same everywhere, over those who are there. A router that is not
 among the first leaves the store alone as long as it hears that it fails, and comes back at its own moment
-once it is said to be well. Word alone is bounded in what it can do: it takes two witnesses, it is not
-heeded by who has just had a good answer, and it never takes away more than half of the stores of one kind
-and place. Where nothing is heard, nothing is heeded: each router then goes by what it sees itself."""
+once it is said to be well. Reports alone are bounded in what they can do: it takes two witnesses, they are
+not heeded by who has just had a good answer, and they never take away more than half of the stores of one
+kind and place. Where nothing is heard, nothing is heeded: each router then goes by what it sees itself."""
 
 from __future__ import annotations
 
@@ -14,15 +14,15 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from magpieshift.overload.news import HOLDS_US, News
+from magpieshift.overload.failure_reports import HOLDS_US, FailureReports
 from molecleat.heed import Act, Allow, Leave
 
 TRIERS = 2  # of all routers that could, at a time
 TRY_US = 1_000_000  # a trier's pause after a failure, however long its own has grown
-LEAVE_US = 1_500_000  # left alone for so long by each word; renewed while it lasts
+LEAVE_US = 1_500_000  # left alone for so long by each report; renewed while it lasts
 RAMP_US = 1_000_000  # within which all others come back to a store that is well
 WITNESSES = 2  # without own evidence
-OWN_US = 1_000_000  # a good answer so short ago counts for more than any word
+OWN_US = 1_000_000  # a good answer so short ago counts for more than any report
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +54,7 @@
 
     def __init__(self, own: str, rand: random.Random) -> None:
         self.own, self._random = own, rand
-        self._left: set[str] = set()  # stores left alone by word
+        self._left: set[str] = set()  # stores left alone by report
         self.tries = self.leaves = 0  # how often each was judged, for people
 
     def among_first(self, store: str, here: Collection[str]) -> bool:
@@ -62,34 +62,36 @@
         mine = place(store, self.own)
         return sum(place(store, name) > mine for name in here if name != self.own) < TRIERS
 
-    def judge(self, now_us: int, news: News, here: Collection[str], seen: Mapping[str, Seen]) -> list[Act]:
-        """What to do about each store of which there is news; ``here`` are the routers that are there and not
-        suspected, this one included, ``seen`` the stores this router may ask."""
+    def judge(
+        self, now_us: int, reports: FailureReports, here: Collection[str], seen: Mapping[str, Seen]
+    ) -> list[Act]:
+        """What to do about each store that anybody has reported; ``here`` are the routers that are there and
+        not suspected, this one included, ``seen`` the stores this router may ask."""
         out: list[Act] = []
         room = self._room(seen)
-        for store in sorted(news.stores()):
+        for store in sorted(reports.stores()):
             its = seen.get(store)
             if its is None:
                 continue
-            said = news.failing(store, now_us)
+            said = reports.failing(store, now_us)
             if not said:
-                if store in self._left and news.well(store, now_us):
+                if store in self._left and reports.well(store, now_us):
                     out.append(Allow(its.number, int(self._random.random() * RAMP_US), 0))
                 self._left.discard(store)
                 continue
             others = len(said - {self.own})
-            by_word = not its.failing
+            by_report = not its.failing
             answered = its.good_us is not None and its.good_us < OWN_US
-            if by_word and (others < WITNESSES or answered):
+            if by_report and (others < WITNESSES or answered):
                 continue
-            if not by_word and others == 0:
+            if not by_report and others == 0:
                 continue  # nobody else has seen it: its own pauses will do
             if self.among_first(store, here):
                 self.tries += 1
                 out.append(Allow(its.number, 0, TRY_US))
                 self._left.discard(store)
-            elif not by_word or room.get(its.group, 0) > 0:
-                room[its.group] = room.get(its.group, 0) - by_word
+            elif not by_report or room.get(its.group, 0) > 0:
+                room[its.group] = room.get(its.group, 0) - by_report
                 self.leaves += 1
                 self._left.add(store)
                 out.append(Leave(its.number, LEAVE_US))
@@ -98,7 +100,7 @@
 
     @staticmethod
     def _room(seen: Mapping[str, Seen]) -> dict[tuple[int, int], int]:
-        """How many stores of each kind and place may be left alone by word: half of them, less those that
+        """How many stores of each kind and place may be left alone by report: half of them, less those that
         fail by what this router has seen."""
         count: dict[tuple[int, int], int] = {}
         failing: dict[tuple[int, int], int] = {}
--- a/tests/overload/test_talk.py
+++ b/tests/overload/test_talk.py
@@ -13,8 +13,14 @@
 from magpieshift.lab.simulated.fleet import Form
 from magpieshift.overload import codec, talk, trials
 from magpieshift.overload.codec import Digest
-from magpieshift.overload.news import HOLDS_US, MOST_STORES, MOST_WITNESSES, News, Word
-from magpieshift.overload.relief import DWELL_US, HIGH, LOW, MOST_EACH, MOST_SHARE, Neighbour, Relief
+from magpieshift.overload.failure_reports import (
+    HOLDS_US,
+    MOST_STORES,
+    MOST_WITNESSES,
+    FailureReport,
+    FailureReports,
+)
+from magpieshift.overload.offloading import DWELL_US, HIGH, LOW, MOST_EACH, MOST_SHARE, Neighbour, Offloading
 from magpieshift.overload.talk import TURN_US, Talker
 from magpieshift.overload.trials import Seen, Trials
 from molecleat.control import Router
@@ -30,60 +36,62 @@
     return Seen(number, (group, 0), failing, 100_000 if failing else None, good_us)
 
 
-def fails(store: str, witness: str, age_us: int = 0) -> Word:
-    return Word(store, witness, True, age_us)
+def fails(store: str, witness: str, age_us: int = 0) -> FailureReport:
+    return FailureReport(store, witness, True, age_us)
 
 
 class NewsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.news = News("own")
+        self.reports = FailureReports("own")
 
     def test_who_says_so_counts_until_it_is_old_or_seen_well_later(self) -> None:
-        self.news.take([fails("p", "a"), fails("p", "b", 1_000_000)], 10_000_000)
-        self.assertEqual(self.news.failing("p", 10_000_000), {"a", "b"})
-        self.news.take([Word("p", "c", False, 500_000)], 10_000_000)
-        self.assertEqual(self.news.failing("p", 10_000_000), {"a"})  # b saw it before c found it well
-        self.assertEqual(self.news.failing("p", 10_000_000 + HOLDS_US), frozenset())
-        self.news.forget(10_000_000 + HOLDS_US)
-        self.assertEqual(list(self.news.stores()), [])
+        self.reports.take([fails("p", "a"), fails("p", "b", 1_000_000)], 10_000_000)
+        self.assertEqual(self.reports.failing("p", 10_000_000), {"a", "b"})
+        self.reports.take([FailureReport("p", "c", False, 500_000)], 10_000_000)
+        self.assertEqual(self.reports.failing("p", 10_000_000), {"a"})  # b saw it before c found it well
+        self.assertEqual(self.reports.failing("p", 10_000_000 + HOLDS_US), frozenset())
+        self.reports.forget(10_000_000 + HOLDS_US)
+        self.assertEqual(list(self.reports.stores()), [])
 
     def test_only_a_witness_renews_its_word(self) -> None:
         """Passed on from one to the next for ever, a word must not stay young."""
-        other = News("b")
-        self.news.take([fails("p", "a")], 0)
+        other = FailureReports("b")
+        self.reports.take([fails("p", "a")], 0)
         for now in range(0, 2 * HOLDS_US, TURN_US):
-            other.take(self.news.told(now), now)
-            self.news.take(other.told(now), now)
-        self.assertEqual((self.news.told(now), other.told(now)), ((), ()))
+            other.take(self.reports.told(now), now)
+            self.reports.take(other.told(now), now)
+        self.assertEqual((self.reports.told(now), other.told(now)), ((), ()))
 
     def test_nobody_speaks_in_anothers_name_to_itself(self) -> None:
-        self.assertFalse(self.news.take([fails("p", "own")], 0))
-        self.assertEqual(self.news.failing("p", 0), frozenset())
+        self.assertFalse(self.reports.take([fails("p", "own")], 0))
+        self.assertEqual(self.reports.failing("p", 0), frozenset())
 
     def test_that_it_is_well_is_told_only_where_somebody_says_otherwise(self) -> None:
-        self.assertFalse(self.news.saw("p", False, 0, 0))
-        self.news.take([fails("p", "a")], 0)
-        self.assertTrue(self.news.saw("p", False, 0, 1))
-        self.assertTrue(self.news.well("p", 1))
-        self.assertFalse(self.news.saw("p", False, 0, HOLDS_US + 1))
+        self.assertFalse(self.reports.saw("p", False, 0, 0))
+        self.reports.take([fails("p", "a")], 0)
+        self.assertTrue(self.reports.saw("p", False, 0, 1))
+        self.assertTrue(self.reports.well("p", 1))
+        self.assertFalse(self.reports.saw("p", False, 0, HOLDS_US + 1))
 
     @FEW
     @given(st.lists(st.tuples(st.integers(0, 200), st.integers(0, 40), st.booleans(), st.integers(-9, 9**7))))
     def test_whatever_comes_it_stays_bounded(self, words: list[tuple[int, int, bool, int]]) -> None:
-        news = News("r0")
+        reports = FailureReports("r0")
         for at, (store, witness, failing, age) in enumerate(words):
-            news.take([Word(f"s{store}", f"r{witness}", failing, age)], at)
-            news.saw(f"s{store}", failing, max(0, age), at)
-        self.assertLessEqual(len(list(news.stores())), MOST_STORES)
-        self.assertTrue(all(len(said) <= MOST_WITNESSES for said in news._by_store.values()))
-        self.assertLessEqual(len(codec.encode(Digest(news.told(len(words))))), codec.MOST_BYTES)
+            reports.take([FailureReport(f"s{store}", f"r{witness}", failing, age)], at)
+            reports.saw(f"s{store}", failing, max(0, age), at)
+        self.assertLessEqual(len(list(reports.stores())), MOST_STORES)
+        self.assertTrue(all(len(said) <= MOST_WITNESSES for said in reports._by_store.values()))
+        self.assertLessEqual(len(codec.encode(Digest(reports.told(len(words))))), codec.MOST_BYTES)
 
 
 class TrialsTest(unittest.TestCase):
-    def judge(self, own: str, words: list[Word], stores: dict[str, Seen], here: list[str]) -> list[Act]:
-        news = News(own)
-        news.take(words, 0)
-        return Trials(own, random.Random(1)).judge(0, news, here, stores)
+    def judge(
+        self, own: str, words: list[FailureReport], stores: dict[str, Seen], here: list[str]
+    ) -> list[Act]:
+        reports = FailureReports(own)
+        reports.take(words, 0)
+        return Trials(own, random.Random(1)).judge(0, reports, here, stores)
 
     def test_a_few_try_and_all_agree_who(self) -> None:
         words = [fails("p", "a"), fails("p", "b")]
@@ -119,14 +127,14 @@
     def test_all_come_back_at_moments_of_their_own(self) -> None:
         back = set()
         for name in NAMES:
-            news, judge = News(name), Trials(name, random.Random(name))
+            reports, judge = FailureReports(name), Trials(name, random.Random(name))
             stores = {"p": seen(1, failing=True), "q": seen(2)}
-            news.take([fails("p", "a"), fails("p", "b")], 0)
-            judge.judge(0, news, NAMES, stores)
-            news.take([Word("p", "a", False, 0)], 500_000)
-            acts = judge.judge(500_000, news, NAMES, stores)
+            reports.take([fails("p", "a"), fails("p", "b")], 0)
+            judge.judge(0, reports, NAMES, stores)
+            reports.take([FailureReport("p", "a", False, 0)], 500_000)
+            acts = judge.judge(500_000, reports, NAMES, stores)
             back |= {act.in_us for act in acts if isinstance(act, Allow)}
-            self.assertEqual(judge.judge(700_000, news, NAMES, stores), [])  # told once
+            self.assertEqual(judge.judge(700_000, reports, NAMES, stores), [])  # told once
         self.assertGreaterEqual(len(back), len(NAMES) - trials.TRIERS)
         self.assertLessEqual(max(back), trials.RAMP_US)
 
@@ -174,7 +182,7 @@
 class ReliefTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = DWELL_US
-        self.relief = Relief(0)
+        self.offloading = Offloading(0)
         self.mates: dict[str, object] = {"a": None, "b": None}
 
     def turns(self, count: int, pressure: float, room: float | None = 0.1) -> None:
@@ -182,58 +190,58 @@
             self.now += TURN_US
             if room is not None:
                 for name in self.mates:
-                    self.relief.heard(name, Neighbour(room, 100.0, False, self.now))
-            self.relief.turn(self.now, pressure, 200.0, self.mates)
+                    self.offloading.heard(name, Neighbour(room, 100.0, False, self.now))
+            self.offloading.turn(self.now, pressure, 200.0, self.mates)
 
     def test_it_begins_when_sure_goes_up_by_steps_and_ends(self) -> None:
         self.turns(2, HIGH + 0.1)
-        self.assertFalse(self.relief.over)
+        self.assertFalse(self.offloading.over)
         self.turns(10, HIGH + 0.1)
-        self.assertTrue(self.relief.over)
-        self.assertGreater(self.relief.share, 0.0)
+        self.assertTrue(self.offloading.over)
+        self.assertGreater(self.offloading.share, 0.0)
         self.turns(30, LOW - 0.3)
-        self.assertEqual((self.relief.over, self.relief.share), (False, 0.0))
+        self.assertEqual((self.offloading.over, self.offloading.share), (False, 0.0))
 
     def test_nobody_is_sent_where_nobody_said_there_is_room(self) -> None:
         for room in (None, LOW, 1.2):
             with self.subTest(room):
                 self.setUp()
                 self.turns(30, 1.5, room)
-                self.assertEqual(self.relief.share, 0.0)
-                self.assertFalse(any(self.relief.hands_over(key, False, False) for key in range(500)))
+                self.assertEqual(self.offloading.share, 0.0)
+                self.assertFalse(any(self.offloading.hands_over(key, False, False) for key in range(500)))
 
     def test_who_claims_to_be_idle_for_ever_gets_a_bounded_part(self) -> None:
         self.mates = {"liar": None}
         for _ in range(200):
             self.now += TURN_US
-            self.relief.heard("liar", Neighbour(0.0, 1e9, False, self.now))
-            self.relief.turn(self.now, 3.0, 200.0, self.mates)
-        self.assertLessEqual(self.relief.share, MOST_EACH + 1e-9)
+            self.offloading.heard("liar", Neighbour(0.0, 1e9, False, self.now))
+            self.offloading.turn(self.now, 3.0, 200.0, self.mates)
+        self.assertLessEqual(self.offloading.share, MOST_EACH + 1e-9)
 
     def test_repeats_and_writes_stay_and_the_same_objects_go(self) -> None:
-        self.relief.share = 0.3
+        self.offloading.share = 0.3
         rand = random.Random(1)
         keys = [rand.getrandbits(64) for _ in range(2000)]
-        went = [key for key in keys if self.relief.hands_over(key, False, False)]
+        went = [key for key in keys if self.offloading.hands_over(key, False, False)]
         self.assertAlmostEqual(len(went) / len(keys), 0.3, delta=0.05)
-        self.assertEqual(went, [key for key in keys if self.relief.hands_over(key, False, False)])
-        self.assertFalse(any(self.relief.hands_over(key, True, False) for key in went))
-        self.assertFalse(any(self.relief.hands_over(key, False, True) for key in went))
+        self.assertEqual(went, [key for key in keys if self.offloading.hands_over(key, False, False)])
+        self.assertFalse(any(self.offloading.hands_over(key, True, False) for key in went))
+        self.assertFalse(any(self.offloading.hands_over(key, False, True) for key in went))
 
     @FEW
     @given(st.lists(st.floats(0, 3), min_size=1, max_size=300), st.floats(0, 2))
     def test_its_share_is_bounded_and_it_changes_twice_a_minute_at_most(
         self, pressures: list[float], room: float
     ) -> None:
-        relief, now = Relief(0), DWELL_US
+        offloading, now = Offloading(0), DWELL_US
         begun = []
         for pressure in pressures:
             now += TURN_US
-            relief.heard("a", Neighbour(room, 500.0, False, now))
-            if relief.turn(now, pressure, 200.0, {"a": None}) and relief.over:
+            offloading.heard("a", Neighbour(room, 500.0, False, now))
+            if offloading.turn(now, pressure, 200.0, {"a": None}) and offloading.over:
                 begun.append(now)
-            self.assertTrue(0.0 <= relief.share <= MOST_SHARE)
-            self.assertLessEqual(relief.share, MOST_EACH + 1e-9)
+            self.assertTrue(0.0 <= offloading.share <= MOST_SHARE)
+            self.assertLessEqual(offloading.share, MOST_EACH + 1e-9)
         self.assertTrue(all(b - a >= DWELL_US for a, b in zip(begun, begun[1:], strict=False)))
 
 
@@ -268,7 +276,7 @@
         self.assertEqual(sum(isinstance(did[0], Allow) for did in acts.values()), trials.TRIERS)
         acts = turns(25, 15 * TURN_US, {"r3": {"p": seen(1, good_us=0), "q": seen(2)}})
         self.assertFalse(any(acts.values()))
-        self.assertTrue(all(not list(talker.news.stores()) for talker in talkers.values()))
+        self.assertTrue(all(not list(talker.reports.stores()) for talker in talkers.values()))
 
     def test_a_flood_is_dropped_and_counted(self) -> None:
         talker = Talker("r0", random.Random(1))
@@ -283,13 +291,13 @@
             for talker, mates, pressure in ((pressed, zone, 2.0), (mate, zone, 0.1), (far, ["r2"], 0.1)):
                 for to, digest in talker.turn(at, {}, NAMES, mates, pressure, 50.0).sends:
                     {"r0": pressed, "r1": mate, "r2": far}[to].receive(at, talker.own, digest, to in zone)
-        self.assertEqual(set(pressed.relief._neighbours), {"r1"})
+        self.assertEqual(set(pressed.offloading._neighbours), {"r1"})
         self.assertEqual(far.sent, 0)
 
 
 class Codec(unittest.TestCase):
     def test_what_is_written_is_read(self) -> None:
-        digest = Digest((fails("p", "a", 5_000), Word("q", "b", False, 7_000)), 1.25, 40.0, True)
+        digest = Digest((fails("p", "a", 5_000), FailureReport("q", "b", False, 7_000)), 1.25, 40.0, True)
         self.assertEqual(codec.decode(codec.encode(digest)), digest)
 
     @FEW
