Name the executor and the runner of a rollout

rollout/hands -> executor (Hands -> Executor), rollout/conduct -> runner (Conduct -> Runner). Files in a rollout's folder and words of commands stay; the logger's name in log lines follows the module. No behaviour changes.

--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -57,9 +57,9 @@
     show.rows(rows, as_json)
 
 
-def _conduct(plan: str, state: str, as_json: bool, fresh: bool, back: bool = False) -> None:
-    from magpieshift.rollout.conduct import Conduct
+def _carry_out(plan: str, state: str, as_json: bool, fresh: bool, back: bool = False) -> None:
     from magpieshift.rollout.journal import JournalError, read
+    from magpieshift.rollout.runner import Runner
 
     folder, found = Path(state), _plan(plan)
     last = ""
@@ -76,7 +76,7 @@
     try:
         if fresh and read(folder):
             raise ConfigError(f"{state} holds a rollout already: resume it, or name another folder")
-        status = asyncio.run(Conduct(found, folder, told=told, back=back).run())
+        status = asyncio.run(Runner(found, folder, told=told, back=back).run())
     except (JournalError, ValueError) as err:
         raise ConfigError(str(err)) from err
     if as_json:
@@ -92,7 +92,7 @@
 @JSON
 def start(plan: str, state: str, as_json: bool) -> None:
     """Carry a plan out. Exit code 1 where the fleet is not all new at the end."""
-    _conduct(plan, state, as_json, fresh=True)
+    _carry_out(plan, state, as_json, fresh=True)
 
 
 @rollout.command(epilog="\b\nExample:\n  magpieshift rollout resume plan.sexp --state rollouts/new-7")
@@ -102,7 +102,7 @@
 @JSON
 def resume(plan: str, state: str, put_back: bool, as_json: bool) -> None:
     """Go on with a rollout whose coordinator has ended or held, under a later term."""
-    _conduct(plan, state, as_json, fresh=False, back=put_back)
+    _carry_out(plan, state, as_json, fresh=False, back=put_back)
 
 
 def _status(path: Path) -> dict[str, Any]:
@@ -123,7 +123,7 @@
 def status(state: str, watch: bool, as_json: bool) -> None:
     """Where a rollout stands: stages, routers, both sides' figures, and why it does what it does."""
     from magpieshift.cli import show
-    from magpieshift.rollout.conduct import STATUS
+    from magpieshift.rollout.runner import STATUS
 
     while True:
         found = _status(Path(state) / STATUS)
@@ -177,7 +177,7 @@
     @STATE
     @click.option("--why", default="", help="For the journal.")
     def command(state: str, why: str) -> None:
-        from magpieshift.rollout.conduct import say
+        from magpieshift.rollout.runner import say
 
         _must_hold_rollout(Path(state))
         say(Path(state), word, why)
--- a/magpieshift/lab/experiments/rolled.py
+++ b/magpieshift/lab/experiments/rolled.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from magpieshift.rollout.conduct import HISTORY, STATUS
 from magpieshift.rollout.journal import read
+from magpieshift.rollout.runner import HISTORY, STATUS
 
 
 def _rows(folder: Path) -> list[dict[str, Any]]:
--- a/magpieshift/lab/proving/rollouts.py
+++ b/magpieshift/lab/proving/rollouts.py
@@ -1,4 +1,4 @@
-"""Rollouts of real processes on the proving ground: the ground starts what the coordinator's hands ask
+"""Rollouts of real processes on the proving ground: the ground starts what the coordinator's executor asks
 for."""
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from magpieshift.config import Address
 from magpieshift.lab.proving.ground import Ground
 from magpieshift.rollout import plan as plans
-from magpieshift.rollout.conduct import Conduct
 from magpieshift.rollout.plan import Plan, Router, Side
+from magpieshift.rollout.runner import Runner
 
 OLD, NEW = "old", "new"
 SCENARIOS: dict[str, tuple[str, float, bool]] = {  # the new version's defect, by how much, whether it is bad
@@ -44,7 +44,7 @@
 
 
 def starter(ground: Ground, defect: str = "none", by: float = 0.0) -> Callable[..., Any]:
-    """The hands' way of starting a process: the ground does, and owns it."""
+    """The executor's way of starting a process: the ground does, and owns it."""
 
     async def start(router: Router, door: Address, side: Side, term: int) -> None:
         words = ("--label", side.label, "--term", str(term))
@@ -75,11 +75,11 @@
         ground.load()
         await asyncio.sleep(5.0)  # caches fill
         usual = ground.service()
-        conduct = Conduct(plan_for(ground), folder / "rollout", starter(ground, defect, by), told)
+        runner = Runner(plan_for(ground), folder / "rollout", starter(ground, defect, by), told)
         outage = None
         if name == "same-with-outage":
             outage = asyncio.ensure_future(ground.stores.fail("slow", "origin", 8.0, by=400))
-        status = await conduct.run()
+        status = await runner.run()
         if outage is not None:
             await outage
         service = ground.service(8)
--- a/magpieshift/rollout/hands.py
+++ b/magpieshift/rollout/executor.py
@@ -1,5 +1,5 @@
-"""The hands of a coordinator: they ask at routers' doors and replace processes. A thin driver; what is to
-be done and when is the coordinator's."""
+"""What a coordinator decides is executed here: routers are asked at their doors, processes replaced. A thin
+driver; what is to be done and when is the coordinator's."""
 
 from __future__ import annotations
 
@@ -66,7 +66,7 @@
         raise StepFailed(f"{words[0]} ended with {process.returncode}: {last[0][:200]}")
 
 
-class Hands:
+class Executor:
     """Acts at routers in one term's name."""
 
     def __init__(self, plan: Plan, term: int, start: Start = by_command) -> None:
--- a/magpieshift/rollout/conduct.py
+++ b/magpieshift/rollout/runner.py
@@ -1,4 +1,4 @@
-"""A rollout carried out: looks, judge, coordinator, journal and hands round one loop."""
+"""A rollout carried out: looks, judge, coordinator, journal and executor round one loop."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 
 from magpieshift.log import fields
 from magpieshift.rollout.coordinator import Action, Coordinator, Judged, Replace, Way, Write
+from magpieshift.rollout.executor import Executor, Overtaken, Start, StepFailed, by_command
 from magpieshift.rollout.figures import Figures
-from magpieshift.rollout.hands import Hands, Overtaken, Start, StepFailed, by_command
 from magpieshift.rollout.journal import Journal, JournalError
 from magpieshift.rollout.judge import Judge, Verdict
 from magpieshift.rollout.plan import Plan
@@ -31,7 +31,7 @@
     return time.monotonic_ns() // 1000
 
 
-class Conduct:
+class Runner:
     """Owner of one run of a rollout: of its journal and of the step that is under way."""
 
     def __init__(
@@ -60,13 +60,13 @@
     async def _run(self, journal: Journal) -> Mapping[str, Any]:
         (self.folder / ASKED).unlink(missing_ok=True)
         names = list(self.plan.routers)
-        term = 1 + max([await Hands(self.plan, 0).latest_term(names),
+        term = 1 + max([await Executor(self.plan, 0).latest_term(names),
                         *(int(r.get("term", 0)) for r in journal.records)])  # fmt: skip
-        self._hands = Hands(self.plan, term, self._start)
+        self._executor = Executor(self.plan, term, self._start)
         coordinator = Coordinator(self.plan, term, _now_us(), journal.records)
         self._judge = self._fresh()
         try:
-            await self._hands.hold()  # an older one that wakes from now on is turned down wherever it goes
+            await self._executor.hold()  # an older one that wakes from now on is turned down wherever it goes
         except StepFailed as err:
             log.warning("term not held yet", extra=fields(reason=err))
         except Overtaken as err:
@@ -97,7 +97,7 @@
 
     async def _look(self, coordinator: Coordinator) -> None:
         names = list(self.plan.routers)
-        found = await asyncio.gather(*(self._hands.look(name) for name in names))
+        found = await asyncio.gather(*(self._executor.look(name) for name in names))
         now = _now_us()
         answers: dict[str, Figures | None] = {}
         for name, processes in zip(names, found, strict=True):
@@ -142,7 +142,7 @@
     async def _step(self, coordinator: Coordinator, step: Replace) -> None:
         why = ""
         try:
-            await self._hands.replace(step.router, step.label)
+            await self._executor.replace(step.router, step.label)
         except StepFailed as err:
             why = str(err)
         except Overtaken as err:
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -11,9 +11,9 @@
 from magpieshift.lab.proving import rollouts
 from magpieshift.lab.proving.ground import Ground
 from magpieshift.lab.proving.rollouts import NEW, OLD, begin, plan_for, starter
-from magpieshift.rollout.conduct import Conduct
-from magpieshift.rollout.hands import Hands, Overtaken, ask
+from magpieshift.rollout.executor import Executor, Overtaken, ask
 from magpieshift.rollout.journal import read
+from magpieshift.rollout.runner import Runner
 
 ROUTERS = 4
 
@@ -28,9 +28,9 @@
         await begin(self.ground)
         self.ground.load()
 
-    async def labels(self, hands: Hands) -> dict[str, list[str]]:
+    async def labels(self, executor: Executor) -> dict[str, list[str]]:
         return {
-            name: [figures.label for figures in (await hands.look(name)).values()]
+            name: [figures.label for figures in (await executor.look(name)).values()]
             for name in self.ground.places
         }
 
@@ -45,7 +45,7 @@
         ground = self.ground
         plan = plan_for(ground, **{"worse-by": {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}})
         state = self.folder / "state"
-        first = asyncio.ensure_future(Conduct(plan, state, starter(ground)).run())
+        first = asyncio.ensure_future(Runner(plan, state, starter(ground)).run())
 
         async def changed() -> bool:
             return any(record["what"] == "intent" for record in read(state))
@@ -53,10 +53,10 @@
         await ground.until(changed, "the first step is begun", 60.0)
         first.cancel()  # in the middle of it
         await asyncio.wait([first])
-        status = await asyncio.wait_for(Conduct(plan, state, starter(ground)).run(), 120.0)
+        status = await asyncio.wait_for(Runner(plan, state, starter(ground)).run(), 120.0)
         self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
-        hands = Hands(plan, 0)
-        self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
+        executor = Executor(plan, 0)
+        self.assertEqual(await self.labels(executor), {name: [NEW] for name in ground.places})
         report = rolled.write(state).read_text()
         self.assertIn("Rollout proving: ended", report)
         self.assertIn("data:image/png;base64,", report)
@@ -64,9 +64,9 @@
         self.assertEqual(len(steps), len(set(steps)))
         with self.subTest("an older coordinator is turned down, and what it starts does not serve"):
             with self.assertRaises(Overtaken):
-                await Hands(plan, 1, starter(ground)).replace("r0", OLD)
+                await Executor(plan, 1, starter(ground)).replace("r0", OLD)
             place = ground.places["r0"]
-            door = next(iter(await hands.look("r0")))
+            door = next(iter(await executor.look("r0")))
             self.assertRegex(str(await ask(door, "AS 1 END")), "term 1 is over, the latest is 2")
             serving, place.process = place.process, None
             free = next(port for port in place.doors if port != door[1])
@@ -74,7 +74,7 @@
             assert place.process is not None
             self.assertEqual(await asyncio.wait_for(place.process.wait(), 30.0), 2)
             place.process, place.console = serving, door[1]
-            self.assertEqual(await self.labels(hands), {name: [NEW] for name in ground.places})
+            self.assertEqual(await self.labels(executor), {name: [NEW] for name in ground.places})
         await self.end()
 
     async def test_a_silent_router_is_waited_for_and_one_emptied_by_hand_is_not_judged(self) -> None:
@@ -85,7 +85,7 @@
         state = self.folder / "state"
         seen: list[str] = []
         running = asyncio.ensure_future(
-            Conduct(plan, state, starter(ground), lambda status: seen.append(str(status["why"]))).run()
+            Runner(plan, state, starter(ground), lambda status: seen.append(str(status["why"]))).run()
         )
 
         async def begun() -> bool:
@@ -112,11 +112,13 @@
             with self.subTest(defect):
                 plan = plan_for(ground, **{"step-s": 2.0 if defect == "no-start" else 15.0, "name": defect})
                 state = self.folder / defect
-                conduct = Conduct(plan, state, starter(ground, defect, by))
-                status = await asyncio.wait_for(conduct.run(), 120.0)
+                runner = Runner(plan, state, starter(ground, defect, by))
+                status = await asyncio.wait_for(runner.run(), 120.0)
                 self.assertEqual((status["way"], status["old"]), ("ended", sorted(ground.places)), status)
                 self.assertIn(why, status["why"])
-                self.assertEqual(await self.labels(Hands(plan, 0)), {name: [OLD] for name in ground.places})
+                self.assertEqual(
+                    await self.labels(Executor(plan, 0)), {name: [OLD] for name in ground.places}
+                )
         await self.end()
 
 
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -195,7 +195,7 @@
         self.acts: list[int] = []  # terms, in the order in which they changed anything
 
     def hold(self, term: int) -> str:
-        """As the hands do before each step."""
+        """As the executor does before each step."""
         here = [name for name in self.fences if name not in self.dark]
         if any(self.fences[name] > term for name in here):
             return "over"
