--- a/magpieshift/capture/story.py
+++ b/magpieshift/capture/explanation.py
@@ -184,7 +184,7 @@
 
 
 def why(records: Records, request: int) -> list[str]:
-    """One request's story: what the module was told of it, what it knew then, and what it said."""
+    """One request explained: what the module was told of it, what it knew then, and what it said."""
     lines: list[str] = []
     events: list[Any] = []
     open_ = [False]
--- a/magpieshift/cli/captures.py
+++ b/magpieshift/cli/captures.py
@@ -32,7 +32,7 @@
 def info(file: str, as_json: bool) -> None:
     """What a capture holds, and what it lacks."""
     from magpieshift.capture import segments
-    from magpieshift.capture.story import clock
+    from magpieshift.capture.explanation import clock
 
     count: dict[str, int] = {}
     missing: list[str] = []
@@ -73,11 +73,13 @@
 @click.argument("file")
 @click.argument("request")
 def why(file: str, request: str) -> None:
-    """Tell the story of REQUEST, given as its id in the log or as the module's number."""
-    from magpieshift.capture import story
+    """Explain what happened to REQUEST, given as its id in the log or as the module's number."""
+    from magpieshift.capture import explanation
 
     try:
-        for line in story.why(lambda: _records(file), story.find_request(lambda: _records(file), request)):
+        for line in explanation.why(
+            lambda: _records(file), explanation.find_request(lambda: _records(file), request)
+        ):
             click.echo(line)
     except LookupError as err:
         raise ConfigError(f"{file}: {err.args[0]}") from None
@@ -130,17 +132,17 @@
 @JSON
 def replay(file: str, times: int, against: str, as_json: bool) -> None:
     """Feed a capture to the deciding module and compare; exit code 1 on any difference."""
-    from magpieshift.capture import policy, story
+    from magpieshift.capture import explanation, policy
     from magpieshift.capture.replay import Replay, Result
 
     own = policy.own()
     other = policy.load(against) if against else None
-    differences, result, names = 0, Result(), story.Names({})
+    differences, result, names = 0, Result(), explanation.Names({})
     began = time.process_time()
     for _ in range(times):
         run = Replay(own, other)
         result = run.run(_records(file))
-        names = story.Names(run.names)
+        names = explanation.Names(run.names)
         differences += result.differences
     spent = time.process_time() - began
     figures = result.figures() | {
@@ -161,7 +163,7 @@
             )
         for text in result.missing:
             click.echo(f"missing: {text}")
-        for line in story.report(result, names, lambda: _records(file)):
+        for line in explanation.report(result, names, lambda: _records(file)):
             click.echo(line)
     raise SystemExit(1 if differences or not result.batches else 0)
 
--- a/tests/capture/test_capture.py
+++ b/tests/capture/test_capture.py
@@ -15,7 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from magpieshift.capture import codec, cut, policy, segments, state, story
+from magpieshift.capture import codec, cut, explanation, policy, segments, state
 from magpieshift.capture.recorder import MOST_PENDING, Limits, Recorder
 from magpieshift.capture.replay import Player, Replay, Result
 from magpieshift.capture.segments import CaptureError, Missing
@@ -359,7 +359,7 @@
         result = self.replayed(against=other)
         self.assertGreater(result.differences, 0)
         self.assertLess(result.differences, result.batches / 2)
-        lines = story.report(result, story.Names({21: "hub-a"}), self.read)
+        lines = explanation.report(result, explanation.Names({21: "hub-a"}), self.read)
         self.assertLess(len(lines), 60)
         self.assertIn("by kind", lines[0])
         self.assertTrue(any("what the module knew right before" in line for line in lines), lines)
@@ -383,13 +383,13 @@
         referee.end(8)
         referee.end(0)
         recorder.stop()
-        number = story.find_request(self.read, "00aa11bb22cc33dd")
-        lines = story.why(self.read, number)
+        number = explanation.find_request(self.read, "00aa11bb22cc33dd")
+        lines = explanation.why(self.read, number)
         self.assertTrue(any("asked for object" in line for line in lines), lines)
         self.assertTrue(any("said: ask" in line or "said: get" in line for line in lines), lines)
         self.assertTrue(any("attempt 0 at" in line for line in lines), lines)
         with self.assertRaises(LookupError):
-            story.find_request(self.read, "nobody")
+            explanation.find_request(self.read, "nobody")
 
     def test_a_part_cut_out_replays_like_the_whole(self) -> None:
         self.record(SCRIPT * 4)
