Name the network and the cluster of the proving ground

lab/proving/ways -> network (Ways -> Network, its Fault -> LinkFault, ON_WAYS -> ON_LINKS), lab/proving/ground -> cluster (Ground -> Cluster, `ground.ways` -> `cluster.network`); the names of the ends LOG and CLIENTS stand in network. Scenario files and commands keep their words. No behaviour changes.

--- a/magpieshift/lab/proving/checks.py
+++ b/magpieshift/lab/proving/checks.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 WHOLE = 1.0 + 1e-4  # shares are logged to six places
-MEMORY_MB, SOCKETS = 64, 512  # as the ground's settings say
+MEMORY_MB, SOCKETS = 64, 512  # as the cluster's settings say
 
 
 class Seen(Protocol):
--- a/magpieshift/lab/proving/ground.py
+++ b/magpieshift/lab/proving/cluster.py
@@ -1,7 +1,7 @@
 """Many router processes amid an emulated installation, owned by id: started, stopped, paused, killed and
-started again, with faults on every way between any two of them.
+started again, with faults on every link between any two of them.
 
-The ends of ways are the routers (r0, r1, ...), the stores by place (box1, hub1, origin), the change log
+The ends of links are the routers (r0, r1, ...), the stores by place (box1, hub1, origin), the change log
 (``log``) and the clients (``clients``). Routers speak to each other in datagrams
 through a ``Switch``, all else goes in streams, each pair through a ``Relay`` of its own.
 """
@@ -18,13 +18,13 @@
 from magpieshift.control.schema import load_data, to_data
 from magpieshift.lab.proving import checks, skewed
 from magpieshift.lab.proving.doors import UP_S
+from magpieshift.lab.proving.network import CLIENTS, LOG, Network
 from magpieshift.lab.proving.outages import Idle
 from magpieshift.lab.proving.places import Place
 from magpieshift.lab.proving.ports import free_ports
 from magpieshift.lab.proving.processes import PROGRAM, Processes
 from magpieshift.lab.proving.surroundings import Surroundings
 from magpieshift.lab.proving.switch import Switch
-from magpieshift.lab.proving.ways import CLIENTS, LOG, Ways
 from magpieshift.lab.standins import emulated
 from magpieshift.lab.standins.emulator import Rules
 from magpieshift.lab.standins.load import CROSSED_S, Load
@@ -35,8 +35,8 @@
 KINDS = ("sent", "served", "refused", "failed", "lost", "cut")  # of requests
 
 
-class Ground(Processes):
-    """Owner of the installation, the ways, the clients and all router processes.
+class Cluster(Processes):
+    """Owner of the installation, the network, the clients and all router processes.
 
     ``digests`` and ``hand_over`` are set as in the settings' members. ``slack_s`` is granted beyond the
     time limits of the rules on top of the platform's 0.05 s: more where a verdict must not hang on how busy
@@ -49,13 +49,13 @@
     ) -> None:  # fmt: skip
         super().__init__(folder, program, clocks)
         self.count, self.seed, self.alone = routers, seed, alone
-        self.ways = Ways()
-        self.switch = Switch(seed, self.ways)
+        self.network = Network()
+        self.switch = Switch(seed, self.network)
         self.rules = Rules(slack_s, self._knew)
         self.checks: list[checks.Check] = checks.standard()
         self.loads: dict[str, Load] = {}
         self.broken: list[str] = []
-        self._surroundings = Surroundings(self.ways, self.rules, boxes, hubs, random.Random(seed))
+        self._surroundings = Surroundings(self.network, self.rules, boxes, hubs, random.Random(seed))
         self._rate = rate
         self._seeds, self._digests, self._hand_over = seeds, digests, hand_over
         self._clients: list[asyncio.Task[None]] = []
@@ -67,7 +67,7 @@
 
     # --- beginning and end
 
-    async def __aenter__(self) -> Ground:
+    async def __aenter__(self) -> Cluster:
         self.folder.mkdir(parents=True, exist_ok=True)
         try:
             await self._begin()
@@ -118,7 +118,7 @@
         """Note when the change log does not reach a router, and let the checks look."""
         while True:
             for name in self.places:
-                self.outages.note_log(name, self.ways.either(name, LOG))
+                self.outages.note_log(name, self.network.either(name, LOG))
             for check in self.checks:
                 check.look(self, {})
             await asyncio.sleep(WATCH_S)
@@ -158,7 +158,7 @@
     def _excused(self, name: str, began: float) -> bool:
         """Whether a request of that moment may have gone without an answer: the router was killed, stood
         still, or nothing went between it and its clients."""
-        return self.outages.away_since(name, began) or bool(self.ways.either(CLIENTS, name))
+        return self.outages.away_since(name, began) or bool(self.network.either(CLIENTS, name))
 
     # --- load
 
--- a/magpieshift/lab/proving/ways.py
+++ b/magpieshift/lab/proving/network.py
@@ -1,4 +1,5 @@
-"""Faults on the ways between processes: who put which, on which direction, and what they come to together."""
+"""The network between processes: which faults are on which direction of which link, and what they come to
+together."""
 
 from __future__ import annotations
 
@@ -18,11 +19,11 @@
 
 
 @dataclass
-class Fault:
-    """What happens on one direction of one way; several that fit add up.
+class LinkFault:
+    """What happens on one direction of one link; several that fit add up.
 
     Datagrams are lost, doubled and overtake each other. A stream is never torn inside: what is cut waits
-    until the way heals, as sent again by the system would, and ``lose`` and ``double`` do nothing to it.
+    until the link heals, as sent again by the system would, and ``lose`` and ``double`` do nothing to it.
     """
 
     cut: bool = False
@@ -35,19 +36,19 @@
     kb_per_s: float = 0.0  # streams: no more than this; 0 is no limit
 
 
-class Ways:
+class Network:
     """The faults in force, by direction; ``*`` stands for anybody, ``routers`` for any of them."""
 
     def __init__(self) -> None:
-        self._faults: dict[tuple[str, str], dict[str, Fault]] = {}
+        self._faults: dict[tuple[str, str], dict[str, LinkFault]] = {}
         self.changes = 0  # so that who watches can tell that something is new
 
     def put(self, why: str, source: str, target: str, **fault: Any) -> None:
-        """Put a fault on the way from one to another, under a name by which it is healed."""
-        known = {field.name for field in fields(Fault)}
+        """Put a fault on the link from one to another, under a name by which it is healed."""
+        known = {field.name for field in fields(LinkFault)}
         if wrong := set(fault) - known:
             raise ValueError(f"found {sorted(wrong)}, expected some of {sorted(known)}")
-        self._faults.setdefault((source, target), {})[why] = Fault(**fault)
+        self._faults.setdefault((source, target), {})[why] = LinkFault(**fault)
         self.changes += 1
 
     def heal(self, why: str) -> None:
@@ -56,11 +57,11 @@
             held.pop(why, None)
         self.changes += 1
 
-    def on(self, source: str, target: str) -> list[Fault]:
+    def on(self, source: str, target: str) -> list[LinkFault]:
         """All that happens on this direction now."""
-        ways = ((a, b) for a in _names(source) for b in _names(target))
-        return [fault for way in ways for fault in self._faults.get(way, {}).values()]
+        links = ((a, b) for a in _names(source) for b in _names(target))
+        return [fault for link in links for fault in self._faults.get(link, {}).values()]
 
-    def either(self, one: str, other: str) -> list[Fault]:
+    def either(self, one: str, other: str) -> list[LinkFault]:
         """All that happens on either direction: a connection has both."""
         return self.on(one, other) + self.on(other, one)
--- a/magpieshift/lab/proving/outages.py
+++ b/magpieshift/lab/proving/outages.py
@@ -4,7 +4,7 @@
 
 import time
 
-from magpieshift.lab.proving.ways import Fault
+from magpieshift.lab.proving.network import LinkFault
 
 KNOWS_S = 3.0  # after a cut from the change log, or a pause, by when a router has read on
 Span = tuple[float, float]
@@ -41,7 +41,7 @@
         last = max(i for i, idle in enumerate(self.idle) if idle[0] == name)
         self.idle[last] = (*self.idle[last][:3], time.monotonic())
 
-    def note_log(self, name: str, faults: list[Fault]) -> None:
+    def note_log(self, name: str, faults: list[LinkFault]) -> None:
         """What lies between a router and the change log at this moment."""
         now = time.monotonic()
         spans = self._deaf.setdefault(name, [])
--- a/magpieshift/lab/proving/ports.py
+++ b/magpieshift/lab/proving/ports.py
@@ -13,8 +13,8 @@
 
 def free_ports(count: int) -> list[int]:
     """Ports of loopback that nobody has, for datagrams and connections, below those the system gives away
-    by itself: a process that starts again must find its own still free. Grounds of several processes, side by
-    side, begin to look in places of their own."""
+    by itself: a process that starts again must find its own still free. Processes that own a cluster
+    each, side by side, begin to look in places of their own."""
     found: list[int] = []
     place = os.getpid() % PLACES
     start = FIRST_PORT + place * PORTS_EACH + random.randrange(PORTS_EACH // 2)  # not by the seed
--- a/magpieshift/lab/proving/processes.py
+++ b/magpieshift/lab/proving/processes.py
@@ -48,7 +48,7 @@
 
     async def start(self, *names: str, words: Sequence[str] = (), program: Sequence[str] = ()) -> None:
         """Start routers, all at once; wait for nothing. ``words`` go behind ``run``, ``program`` is another
-        one than the ground's."""
+        one than the cluster's."""
         for name in names:
             place = self.places[name]
             place.starts += 1
--- a/magpieshift/lab/proving/relay.py
+++ b/magpieshift/lab/proving/relay.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 
-from magpieshift.lab.proving.ways import Ways
+from magpieshift.lab.proving.network import Network
 
 CHUNK = 16_384
 LOOK_S = 0.02  # how soon a fault that was put or healed shows on open connections
@@ -19,8 +19,8 @@
 class Relay:
     """Owner of one listener and of all connections through it."""
 
-    def __init__(self, ways: Ways, source: str, target: str, port: int) -> None:
-        self._ways, self._source, self._target, self._to = ways, source, target, port
+    def __init__(self, network: Network, source: str, target: str, port: int) -> None:
+        self._network, self._source, self._target, self._to = network, source, target, port
         self._server: asyncio.Server | None = None
         self._through: set[asyncio.Task[None]] = set()
         self.port = 0
@@ -58,7 +58,7 @@
             writer.transport.abort()
 
     async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while any(fault.silent for fault in self._ways.either(self._source, self._target)):
+        while any(fault.silent for fault in self._network.either(self._source, self._target)):
             if self._is_reset(writer):
                 return
             await asyncio.sleep(LOOK_S)
@@ -94,7 +94,7 @@
                 if not (data := await reader.read(CHUNK)):
                     break
                 await self._let(source, target)  # put while it waited for something to carry
-                for fault in self._ways.on(source, target):
+                for fault in self._network.on(source, target):
                     pause = fault.delay_ms / 1e3
                     if fault.kb_per_s:
                         pause += len(data) / 1e3 / fault.kb_per_s
@@ -111,11 +111,11 @@
 
     async def _let(self, source: str, target: str) -> None:
         """Wait until nothing is in the way."""
-        while any(fault.cut or fault.silent for fault in self._ways.on(source, target)):
+        while any(fault.cut or fault.silent for fault in self._network.on(source, target)):
             await asyncio.sleep(LOOK_S)
 
     def _is_reset(self, writer: asyncio.StreamWriter) -> bool:
-        if not any(fault.reset for fault in self._ways.either(self._source, self._target)):
+        if not any(fault.reset for fault in self._network.either(self._source, self._target)):
             return False
         self._reset(writer)
         return True
--- a/magpieshift/lab/proving/rollouts.py
+++ b/magpieshift/lab/proving/rollouts.py
@@ -1,4 +1,4 @@
-"""Rollouts of real processes on the proving ground: the ground starts what the coordinator's executor asks
+"""Rollouts of real processes on the proving ground: the cluster starts what the coordinator's executor asks
 for."""
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from typing import Any
 
 from magpieshift.config import Address
-from magpieshift.lab.proving.ground import Ground
+from magpieshift.lab.proving.cluster import Cluster
 from magpieshift.rollout import plan as plans
 from magpieshift.rollout.plan import Plan, Router, Side
 from magpieshift.rollout.runner import Runner
@@ -29,11 +29,11 @@
 }
 
 
-def plan_for(ground: Ground, **more: Any) -> Plan:
-    """A plan of two stages for a ground's routers; what of it is otherwise in ``more``."""
+def plan_for(cluster: Cluster, **more: Any) -> Plan:
+    """A plan of two stages for a cluster's routers; what of it is otherwise in ``more``."""
     routers = {
         name: {"doors": [f"127.0.0.1:{door}" for door in place.doors]}
-        for name, place in ground.places.items()
+        for name, place in cluster.places.items()
     }
     stages = {"one": {"routers": 1, "soak-s": 3.0, "most-s": 120.0}, "all": {"share": 1.0, "soak-s": 3.0}}
     data: dict[str, Any] = {
@@ -43,55 +43,55 @@
     return plans.load(data | more)
 
 
-def starter(ground: Ground, defect: str = "none", by: float = 0.0) -> Callable[..., Any]:
-    """The executor's way of starting a process: the ground does, and owns it."""
+def starter(cluster: Cluster, defect: str = "none", by: float = 0.0) -> Callable[..., Any]:
+    """The executor's way of starting a process: the cluster does, and owns it."""
 
     async def start(router: Router, door: Address, side: Side, term: int) -> None:
         words = ("--label", side.label, "--term", str(term))
         program: Sequence[str] = ()
         if side.label == NEW and defect != "none":
             program = (sys.executable, "-m", "magpieshift.lab.proving.faulty", defect, str(by))
-        await ground.beside(router.name, door[1], words, program)
+        await cluster.beside(router.name, door[1], words, program)
 
     return start
 
 
-async def begin(ground: Ground) -> None:
+async def begin(cluster: Cluster) -> None:
     """All routers up, on the old side."""
-    names = list(ground.places)
-    await ground.start(*names, words=("--label", OLD, "--term", "0"))
-    await ground.serving(*names)
+    names = list(cluster.places)
+    await cluster.start(*names, words=("--label", OLD, "--term", "0"))
+    await cluster.serving(*names)
 
 
 async def play(
     name: str, folder: Path, routers: int, seed: int,
     told: Callable[[Mapping[str, Any]], None] = lambda status: None,
 ) -> dict[str, Any]:  # fmt: skip
-    """One rollout of real processes under load, judged by the ground as well."""
+    """One rollout of real processes under load, judged by the cluster as well."""
     defect, by, bad = SCENARIOS[name]
     began = time.monotonic()
-    async with Ground(folder, routers, seed, rate=40.0, slack_s=1.0, boxes=3) as ground:
-        await begin(ground)
-        ground.load()
+    async with Cluster(folder, routers, seed, rate=40.0, slack_s=1.0, boxes=3) as cluster:
+        await begin(cluster)
+        cluster.load()
         await asyncio.sleep(5.0)  # caches fill
-        usual = ground.service()
-        runner = Runner(plan_for(ground), folder / "rollout", starter(ground, defect, by), told)
+        usual = cluster.service()
+        runner = Runner(plan_for(cluster), folder / "rollout", starter(cluster, defect, by), told)
         outage = None
         if name == "same-with-outage":
-            outage = asyncio.ensure_future(ground.stores.fail("slow", "origin", 8.0, by=400))
+            outage = asyncio.ensure_future(cluster.stores.fail("slow", "origin", 8.0, by=400))
         status = await runner.run()
         if outage is not None:
             await outage
-        service = ground.service(8)
-        counted = await ground.settle()
-        stopped = status["way"] != "ended" or status["new"] != sorted(ground.places)
+        service = cluster.service(8)
+        counted = await cluster.settle()
+        stopped = status["way"] != "ended" or status["new"] != sorted(cluster.places)
         verdict = {
             "scenario": name, "routers": routers, "seed": seed, "runs": 1,
             "stopped_wrongly": int(stopped and not bad), "caught": int(stopped and bad),
             "exposed_share": round(max(len(status["new"]), 1) / routers, 3), "lost": counted["lost"],
             "cut": counted["cut"], "asked": counted["sent"], "served": counted["served"],
             "service_before": round(usual, 4), "service_after": round(service, 4),
-            "why": status["why"], "rules_broken": ground.broken + ground.ended_wrong,
+            "why": status["why"], "rules_broken": cluster.broken + cluster.ended_wrong,
             "seconds": round(time.monotonic() - began, 1),
         }  # fmt: skip
-    return verdict | {"left_running": ground.left_running()}
+    return verdict | {"left_running": cluster.left_running()}
--- a/magpieshift/lab/proving/run.py
+++ b/magpieshift/lab/proving/run.py
@@ -10,42 +10,42 @@
 from pathlib import Path
 from typing import Any
 
+from magpieshift.lab.proving.cluster import Cluster
 from magpieshift.lab.proving.doors import UP_S
-from magpieshift.lab.proving.ground import Ground
-from magpieshift.lab.proving.scenario import ON_ROUTERS, ON_WAYS, Fault, Run, written
+from magpieshift.lab.proving.scenario import ON_LINKS, ON_ROUTERS, Fault, Run, written
 
 QUIET_S = 30.0  # after the last fault, within which all must agree
 
 
-async def _fault(ground: Ground, fault: Fault, began: float) -> None:
+async def _fault(cluster: Cluster, fault: Fault, began: float) -> None:
     """Cause it, and take it away when its time is over."""
     await asyncio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
-    if fault.what in ON_WAYS:
-        ways: dict[str, dict[str, Any]] = {
+    if fault.what in ON_LINKS:
+        faults: dict[str, dict[str, Any]] = {
             "cut": {"cut": True}, "lose": {"lose": fault.by}, "double": {"double": fault.by},
             "delay": {"delay_ms": fault.by, "jitter_ms": fault.by}, "reset": {"reset": True},
             "silence": {"silent": True}, "throttle": {"kb_per_s": fault.by},
         }  # fmt: skip
-        ground.ways.put(fault.name, fault.source, fault.target, **ways[fault.what])
+        cluster.network.put(fault.name, fault.source, fault.target, **faults[fault.what])
         await asyncio.sleep(fault.for_s)
-        return ground.ways.heal(fault.name)
+        return cluster.network.heal(fault.name)
     if fault.what in ("step", "rate"):
-        ground.set_clock(fault.who, **{"step_s" if fault.what == "step" else "rate": fault.by})
+        cluster.set_clock(fault.who, **{"step_s" if fault.what == "step" else "rate": fault.by})
         await asyncio.sleep(fault.for_s)
-        return ground.set_clock(fault.who)
+        return cluster.set_clock(fault.who)
     if fault.what not in ON_ROUTERS:
-        return await ground.stores.fail(fault.what, fault.who, fault.for_s, fault.by)
+        return await cluster.stores.fail(fault.what, fault.who, fault.for_s, fault.by)
     if fault.what == "pause":
-        ground.pause(fault.who)
+        cluster.pause(fault.who)
         await asyncio.sleep(fault.for_s)
-        return ground.wake(fault.who)
+        return cluster.wake(fault.who)
     if fault.what == "kill":
-        ground.kill(fault.who)
-        await ground.died(fault.who)
+        cluster.kill(fault.who)
+        await cluster.died(fault.who)
     else:
-        await ground.stop(fault.who)
+        await cluster.stop(fault.who)
     await asyncio.sleep(fault.for_s)
-    await ground.start(fault.who)
+    await cluster.start(fault.who)
 
 
 async def play(run: Run, folder: Path, progress: Callable[[str], None] = lambda line: None) -> dict[str, Any]:
@@ -56,21 +56,21 @@
     verdict: dict[str, Any] = {"routers": run.routers, "seed": run.seed}
     samples: list[dict[str, Any]] = []
     wrong: list[str] = []
-    async with Ground(
+    async with Cluster(
         folder, run.routers, run.seed, run.alone, run.rate, boxes=run.boxes, hubs=run.hubs, clocks=run.clocks
-    ) as ground:
-        names = list(ground.places)
-        await ground.start(*names)
-        await ground.serving(*names)
-        await ground.until(lambda: ground.agreed(), "all agree at first")
-        ground.load()
+    ) as cluster:
+        names = list(cluster.places)
+        await cluster.start(*names)
+        await cluster.serving(*names)
+        await cluster.until(lambda: cluster.agreed(), "all agree at first")
+        cluster.load()
         began = time.monotonic()
-        faults = [asyncio.ensure_future(_fault(ground, fault, began)) for fault in run.faults]
+        faults = [asyncio.ensure_future(_fault(cluster, fault, began)) for fault in run.faults]
         while time.monotonic() - began < run.seconds or not all(task.done() for task in faults):
-            views = await ground.views()
+            views = await cluster.views()
             row = {
                 "at_s": round(time.monotonic() - began, 1),
-                "here": {name: len(ground.here(view)) for name, view in views.items()},
+                "here": {name: len(cluster.here(view)) for name, view in views.items()},
                 "suspected": sum(m["standing"] == "suspected" for v in views.values() for m in v["members"]),
                 "gone": sum(m["standing"] == "gone" for v in views.values() for m in v["members"]),
                 "share": {name: view["share"] for name, view in views.items()},
@@ -84,20 +84,20 @@
                 wrong.append(f"fault {fault.name}: {error}")
         try:
             what = "all agree after the last fault"
-            took = await ground.until(lambda: ground.agreed(), what, QUIET_S + UP_S)
+            took = await cluster.until(lambda: cluster.agreed(), what, QUIET_S + UP_S)
             verdict["agree_after_s"] = round(took, 1)
         except AssertionError as err:
             wrong.append(str(err))
-        counted = await ground.settle()
-        most, _ = ground.most_shared()
-        wrong += ground.broken + ground.ended_wrong
+        counted = await cluster.settle()
+        most, _ = cluster.most_shared()
+        wrong += cluster.broken + cluster.ended_wrong
         verdict |= {
             "asked": counted["sent"], "served": counted["served"], "refused": counted["refused"],
             "failed": counted["failed"], "lost": counted["lost"], "cut": counted["cut"],
             "faults": len(run.faults), "most_share": round(most, 4), "rules_broken": wrong,
-            "datagrams": ground.switch.carried, "dropped": ground.switch.dropped,
+            "datagrams": cluster.switch.carried, "dropped": cluster.switch.dropped,
         }  # fmt: skip
-    verdict["left_running"] = ground.left_running()
+    verdict["left_running"] = cluster.left_running()
     (folder / "samples.json").write_text(json.dumps(samples))
     (folder / "verdict.json").write_text(json.dumps(verdict, indent=1))
     return verdict
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -13,7 +13,7 @@
 from magpieshift.control import sexp
 from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
-from magpieshift.lab.proving.ways import ANY, CLIENTS, LOG, ROUTERS
+from magpieshift.lab.proving.network import ANY, CLIENTS, LOG, ROUTERS
 from magpieshift.lab.standins.emulated import places
 
 HEAD = "fleet-run"
@@ -23,7 +23,7 @@
     "drain", "die", "hang", "slow", "err", "purge", "late-list",
 ]  # fmt: skip
 ON_ROUTERS = ("pause", "kill", "stop", "step", "rate")
-ON_WAYS = ("cut", "lose", "delay", "double", "reset", "silence", "throttle")
+ON_LINKS = ("cut", "lose", "delay", "double", "reset", "silence", "throttle")
 AT_STORES = ("drain", "die", "hang", "slow", "err")  # purges and late lists are of no store
 
 
@@ -32,7 +32,7 @@
     at_s: Seconds
     for_s: Seconds = 0.0
     who: str = ""  # a router or a store's place
-    source: str = "*"  # of what happens on a way: routers (all or one), places, log, clients
+    source: str = "*"  # of what happens on a link: routers (all or one), places, log, clients
     target: str = "*"
     # lose, double, err: a share; delay, slow: ms; throttle: KB a second; step: seconds; rate: times true
     by: Annotated[float, Field(ge=-3_600, le=60_000)] = 0.0
@@ -98,7 +98,7 @@
             )
 
     for name, fault in form.faults.items():
-        if fault.what in ON_WAYS:
+        if fault.what in ON_LINKS:
             for key, end in (("source", fault.source), ("target", fault.target)):
                 must(name, key, end, [ANY, ROUTERS, *names, *stores, LOG, CLIENTS])
         elif fault.what in ON_ROUTERS:
@@ -118,7 +118,7 @@
     """A run as a file that ``load_file`` reads as the same."""
     faults = {
         f.name: {"what": f.what, "at-s": f.at_s, "for-s": f.for_s, "by": f.by}
-        | ({"source": f.source, "target": f.target} if f.what in ON_WAYS else {})
+        | ({"source": f.source, "target": f.target} if f.what in ON_LINKS else {})
         | ({"who": f.who} if f.who else {})
         for f in run.faults
     }  # fmt: skip
--- a/magpieshift/lab/proving/surroundings.py
+++ b/magpieshift/lab/proving/surroundings.py
@@ -1,4 +1,4 @@
-"""What routers of the proving ground have round them: stores, change logs, and a relay on each way there."""
+"""What routers of the proving ground have round them: stores, change logs, and a relay on each link there."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 import random
 from typing import Any
 
+from magpieshift.lab.proving.network import CLIENTS, LOG, Network
 from magpieshift.lab.proving.places import Place
 from magpieshift.lab.proving.relay import Relay
-from magpieshift.lab.proving.ways import CLIENTS, LOG, Ways
 from magpieshift.lab.standins import emulated, peers
 from magpieshift.lab.standins.emulator import Rules
 
@@ -16,8 +16,8 @@
 class Surroundings:
     """Owner of the emulated stores, of a change log for each router, and of all relays."""
 
-    def __init__(self, ways: Ways, rules: Rules, boxes: int, hubs: int, rand: random.Random) -> None:
-        self._ways = ways
+    def __init__(self, network: Network, rules: Rules, boxes: int, hubs: int, rand: random.Random) -> None:
+        self._network = network
         self.stores = emulated.Emulated(boxes, hubs, rules, rand, self._tell)
         self._logs: dict[str, peers.Log] = {}
         self._relays: dict[tuple[str, str], Relay] = {}
@@ -35,7 +35,7 @@
         place.clients = (await self._relay(CLIENTS, place.name, place.port)).port
 
     async def _relay(self, source: str, target: str, port: int) -> Relay:
-        relay = self._relays[source, target] = Relay(self._ways, source, target, port)
+        relay = self._relays[source, target] = Relay(self._network, source, target, port)
         await relay.start()
         return relay
 
--- a/magpieshift/lab/proving/switch.py
+++ b/magpieshift/lab/proving/switch.py
@@ -6,7 +6,7 @@
 import asyncio
 import random
 
-from magpieshift.lab.proving.ways import Ways
+from magpieshift.lab.proving.network import Network
 
 
 class _Port(asyncio.DatagramProtocol):
@@ -27,9 +27,9 @@
 class Switch:
     """Owner of the public ports. A datagram's sender is known by the private port it comes from."""
 
-    def __init__(self, seed: int, ways: Ways | None = None) -> None:
+    def __init__(self, seed: int, network: Network | None = None) -> None:
         self._random = random.Random(seed)
-        self.ways = ways or Ways()
+        self.network = network or Network()
         self._ports: dict[str, _Port] = {}
         self._private: dict[str, int] = {}
         self._names: dict[int, str] = {}
@@ -52,7 +52,7 @@
         source = self._names.get(private)
         if source is None:
             return
-        faults = self.ways.on(source, target)
+        faults = self.network.on(source, target)
         kept, delay_ms, copies = 1.0, 0.0, 1
         for fault in faults:
             kept *= 0.0 if fault.cut else 1.0 - fault.lose
--- a/magpieshift/lab/proving/trials.py
+++ b/magpieshift/lab/proving/trials.py
@@ -13,8 +13,8 @@
 
 from magpieshift.control import sexp
 from magpieshift.lab.proving import scenario
-from magpieshift.lab.proving.scenario import AT_STORES, ON_ROUTERS, ON_WAYS, Fault, Run
-from magpieshift.lab.proving.ways import LOG
+from magpieshift.lab.proving.network import LOG
+from magpieshift.lab.proving.scenario import AT_STORES, ON_LINKS, ON_ROUTERS, Fault, Run
 
 # how often each is drawn, and how long it lasts in seconds
 KINDS: dict[str, tuple[int, float, float]] = {
@@ -79,7 +79,7 @@
         who = rand.choice(names)
     elif what in AT_STORES:
         who = rand.choice([*stores, "origin"] if what in ("slow", "err") else stores)
-    elif what in ON_WAYS:
+    elif what in ON_LINKS:
         router = rand.choice(names)
         if what in ("lose", "double", "delay") or (what == "cut" and rand.random() < 0.7):
             source, target = rand.choice([(router, "routers"), ("routers", router), ("routers", "routers"),
--- a/tests/members/test_ground.py
+++ b/tests/members/test_ground.py
@@ -1,4 +1,4 @@
-"""The proving ground itself: its ways do what they say, and each of its checks can fail."""
+"""The proving ground itself: its network does what it says, and each of its checks can fail."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 from magpieshift.front import frames
 from magpieshift.front.frames import Code, Type
 from magpieshift.lab.proving import checks, skewed
+from magpieshift.lab.proving.network import ROUTERS, Network
 from magpieshift.lab.proving.relay import Relay
-from magpieshift.lab.proving.ways import ROUTERS, Ways
 from magpieshift.lab.standins import emulated
 from magpieshift.lab.standins.emulator import Rules
 from magpieshift.lab.standins.load import Connection, Missed
@@ -141,10 +141,10 @@
 
 class Streams(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.ways = Ways()
+        self.network = Network()
         self.heard = b""
         self.server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
-        self.relay = Relay(self.ways, "r1", "box1", self.server.sockets[0].getsockname()[1])
+        self.relay = Relay(self.network, "r1", "box1", self.server.sockets[0].getsockname()[1])
         await self.relay.start()
         self.addCleanup(self.server.close)
         self.addCleanup(self.relay.close)
@@ -163,17 +163,17 @@
     async def test_each_direction_is_cut_by_itself_and_nothing_is_torn(self) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port)
         self.addCleanup(writer.close)
-        self.ways.put("deaf", "box1", ROUTERS, cut=True)
+        self.network.put("deaf", "box1", ROUTERS, cut=True)
         writer.write(b"one")
         await self.until(lambda: self.heard == b"one")
-        self.ways.put("mute", "r1", "box1", cut=True)
+        self.network.put("mute", "r1", "box1", cut=True)
         writer.write(b"two")
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(0.2):
                 await reader.readexactly(1)
         self.assertEqual(self.heard, b"one")
-        self.ways.heal("deaf")
-        self.ways.heal("mute")
+        self.network.heal("deaf")
+        self.network.heal("mute")
         async with asyncio.timeout(GENEROUS_S):
             self.assertEqual(await reader.readexactly(6), b"onetwo")
 
@@ -181,19 +181,19 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port)
         writer.write(b"one")
         await reader.readexactly(3)
-        self.ways.put("broken", "*", "box1", reset=True)
+        self.network.put("broken", "*", "box1", reset=True)
         for _ in range(2):
             with self.assertRaises(ConnectionError):
                 async with asyncio.timeout(GENEROUS_S):
                     if await reader.read(1) == b"":
                         raise AssertionError("an end in place of a reset")
             reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port)
-        self.ways.heal("broken")
+        self.network.heal("broken")
         writer.close()
         await self.until(lambda: self.relay.open == 0)
 
     async def test_a_silent_peer_accepts_and_says_nothing(self) -> None:
-        self.ways.put("silent", "r1", "*", silent=True)
+        self.network.put("silent", "r1", "*", silent=True)
         reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port)
         self.addCleanup(writer.close)
         writer.write(b"one")
@@ -201,7 +201,7 @@
             async with asyncio.timeout(0.2):
                 await reader.read(1)
         self.assertEqual(self.heard, b"")
-        self.ways.heal("silent")
+        self.network.heal("silent")
         async with asyncio.timeout(GENEROUS_S):
             self.assertEqual(await reader.readexactly(3), b"one")
 
@@ -216,7 +216,7 @@
 
         server = await asyncio.start_server(resets, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        relay = Relay(self.ways, "clients", "r1", server.sockets[0].getsockname()[1])
+        relay = Relay(self.network, "clients", "r1", server.sockets[0].getsockname()[1])
         await relay.start()
         self.addCleanup(relay.close)
         reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
@@ -228,7 +228,7 @@
 
     async def test_other_ways_are_left_alone(self) -> None:
         for source, target in (("r2", "box1"), ("r1", "box2"), ("log", "r1"), (ROUTERS, ROUTERS)):
-            self.ways.put("elsewhere", source, target, cut=True, reset=True, silent=True)
+            self.network.put("elsewhere", source, target, cut=True, reset=True, silent=True)
         reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port)
         self.addCleanup(writer.close)
         writer.write(b"one")
--- a/tests/members/test_processes.py
+++ b/tests/members/test_processes.py
@@ -13,8 +13,8 @@
 
 from magpieshift.control.sexp import Unusable
 from magpieshift.lab.proving import scenario
-from magpieshift.lab.proving.ground import Ground
-from magpieshift.lab.proving.ways import ROUTERS as ALL
+from magpieshift.lab.proving.cluster import Cluster
+from magpieshift.lab.proving.network import ROUTERS as ALL
 
 ROUTERS = 8
 
@@ -24,21 +24,21 @@
         asyncio.get_running_loop().set_debug(False)  # which would slow all stand-ins down by half
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
-        self.ground = await self.enterAsyncContext(
-            Ground(Path(self.folder.name), ROUTERS, rate=15.0, slack_s=1.0)
+        self.cluster = await self.enterAsyncContext(
+            Cluster(Path(self.folder.name), ROUTERS, rate=15.0, slack_s=1.0)
         )
-        self.names = list(self.ground.places)
+        self.names = list(self.cluster.places)
 
     async def others(self, but: str) -> list[dict[str, object]]:
-        views = await self.ground.views([n for n in self.names if n != but and self.ground.places[n].alive])
+        views = await self.cluster.views([n for n in self.names if n != but and self.cluster.places[n].alive])
         return list(views.values())
 
     async def all_say(self, about: str, standing: str) -> None:
         async def true() -> bool:
             views = await self.others(about)
-            return bool(views) and all(self.ground.standing(view, about) == standing for view in views)
+            return bool(views) and all(self.cluster.standing(view, about) == standing for view in views)
 
-        await self.ground.until(true, f"all hold {about} for {standing}", 60.0)
+        await self.cluster.until(true, f"all hold {about} for {standing}", 60.0)
 
     async def all_read(self, about: str, state: str) -> None:
         """Others read of it what it is in the middle of, and hold it for alive."""
@@ -48,10 +48,12 @@
             said = {(row["state"], row["standing"]) for row in rows if row["name"] == about}
             return said == {(state, "alive")}
 
-        await self.ground.until(true, f"all read of {about} that it is {state}", 60.0)
+        await self.cluster.until(true, f"all read of {about} that it is {state}", 60.0)
 
     async def together(self) -> None:
-        await self.ground.until(lambda: self.ground.agreed(), "all agree, and nobody is gone who lives", 60.0)
+        await self.cluster.until(
+            lambda: self.cluster.agreed(), "all agree, and nobody is gone who lives", 60.0
+        )
 
     async def removed(self) -> set[str]:
         """Whom anybody ever held for gone, by the logs."""
@@ -63,164 +65,164 @@
         return found
 
     async def test_the_hard_cases_one_after_another_under_load(self) -> None:
-        ground, names = self.ground, self.names
-        await ground.start(*names)
-        await ground.serving(*names)
+        cluster, names = self.cluster, self.names
+        await cluster.start(*names)
+        await cluster.serving(*names)
         await self.together()
-        ground.load()
+        cluster.load()
 
         with self.subTest("one stands still, then three at once"):
             for sleepers in (["r1"], ["r4", "r5", "r6"]):
                 for name in sleepers:
-                    ground.pause(name)
+                    cluster.pause(name)
                 for name in sleepers:
                     await self.all_say(name, "suspected") if len(sleepers) == 1 else None
                 for name in sleepers:
-                    ground.wake(name)
+                    cluster.wake(name)
                 await self.together()
             self.assertEqual(await self.removed(), set())
 
         with self.subTest("all stand still, each at its own moment, and a fifth of all is lost"):
-            ground.ways.put("lossy", ALL, ALL, lose=0.2)
+            cluster.network.put("lossy", ALL, ALL, lose=0.2)
 
             async def nap(number: int, name: str) -> None:
                 await asyncio.sleep(number / 2)
-                ground.pause(name)
+                cluster.pause(name)
                 await asyncio.sleep(4.0)
-                ground.wake(name)
+                cluster.wake(name)
 
             await asyncio.gather(*(nap(number, name) for number, name in enumerate(names)))
-            ground.ways.heal("lossy")
+            cluster.network.heal("lossy")
             await self.together()
             self.assertEqual(await self.removed(), set())
 
         with self.subTest("one empties and comes back, another is replaced"):
-            self.assertEqual(await ground.call("r3", "LAMEDUCK"), "OK lame-duck")
+            self.assertEqual(await cluster.call("r3", "LAMEDUCK"), "OK lame-duck")
             await self.all_read("r3", "lame-duck")
-            self.assertEqual(await ground.call("r3", "REJOIN"), "OK serving")
-            await ground.replace("r1")
+            self.assertEqual(await cluster.call("r3", "REJOIN"), "OK serving")
+            await cluster.replace("r1")
             await self.all_read("r3", "serving")
             await self.together()
             self.assertEqual(await self.removed(), set())
 
         with self.subTest("one hears but is not heard"):
-            ground.ways.put("mute", "r2", ALL, cut=True)
+            cluster.network.put("mute", "r2", ALL, cut=True)
             await self.all_say("r2", "gone")
             self.assertEqual(await self.removed(), {"r2"})
-            ground.ways.heal("mute")
+            cluster.network.heal("mute")
             await self.together()
 
         with self.subTest("one is heard but does not hear"):
-            ground.ways.put("deaf", ALL, "r3", cut=True)
+            cluster.network.put("deaf", ALL, "r3", cut=True)
 
             async def cut_off() -> bool:
-                view = await ground.view("r3")
+                view = await cluster.view("r3")
                 return view is not None and view["isolated"]
 
-            await ground.until(cut_off, "r3 knows that it hears nobody")
-            ground.ways.heal("deaf")
+            await cluster.until(cut_off, "r3 knows that it hears nobody")
+            cluster.network.heal("deaf")
             await self.together()
             self.assertEqual(await self.removed(), {"r2"})
 
         with self.subTest("one hears only half of the others, while another dies"):
             for name in names[:3]:
-                ground.ways.put("half deaf", name, "r4", cut=True)
-            ground.kill("r6")
-            await ground.died("r6")
+                cluster.network.put("half deaf", name, "r4", cut=True)
+            cluster.kill("r6")
+            await cluster.died("r6")
             await self.all_say("r6", "gone")
             self.assertEqual(await self.removed(), {"r2", "r6"})
 
         with self.subTest("two halves, as shares are growing, with a leave in one of them"):
-            ground.ways.heal("half deaf")
+            cluster.network.heal("half deaf")
             half = names[:4]
             for a in names:
                 for b in names:
                     if (a in half) != (b in half):
-                        ground.ways.put("halves", a, b, cut=True)
+                        cluster.network.put("halves", a, b, cut=True)
 
             async def parted() -> bool:
-                views = await ground.views()
-                return all(len(ground.here(view)) <= ROUTERS // 2 for view in views.values())
+                views = await cluster.views()
+                return all(len(cluster.here(view)) <= ROUTERS // 2 for view in views.values())
 
-            await ground.stop("r7")
-            await ground.until(parted, "each half is by itself", 60.0)
-            ground.ways.heal("halves")
+            await cluster.stop("r7")
+            await cluster.until(parted, "each half is by itself", 60.0)
+            cluster.network.heal("halves")
             await self.together()
 
         with self.subTest("four more killed at once, and all started again under their names"):
             killed = names[2:6]
-            before = await ground.view("r0")
+            before = await cluster.view("r0")
             assert before is not None
             old = {row["name"]: row["incarnation"] for row in before["members"]}
             for name in killed:
-                ground.kill(name)
-            await ground.died(*killed)
-            await ground.start("r6", "r7", *killed)
-            await ground.serving("r6", "r7", *killed)
+                cluster.kill(name)
+            await cluster.died(*killed)
+            await cluster.start("r6", "r7", *killed)
+            await cluster.serving("r6", "r7", *killed)
             await self.together()
-            after = await ground.view("r0")
+            after = await cluster.view("r0")
             assert after is not None
             for row in after["members"]:
                 if row["name"] in killed:
                     self.assertGreater(row["incarnation"], old[row["name"]])
 
-        counted = await ground.settle()
-        self.assertEqual((ground.broken, ground.ended_wrong), ([], []))
+        counted = await cluster.settle()
+        self.assertEqual((cluster.broken, cluster.ended_wrong), ([], []))
         self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
         self.assertGreater(counted["served"], 100)
-        await ground.close()
-        self.assertEqual(ground.left_running(), 0)
+        await cluster.close()
+        self.assertEqual(cluster.left_running(), 0)
 
 
 class Starting(unittest.IsolatedAsyncioTestCase):
     async def test_sixteen_start_while_their_one_seed_is_down_and_one_stands_still_as_it_joins(self) -> None:
         asyncio.get_running_loop().set_debug(False)
         with tempfile.TemporaryDirectory() as folder:
-            async with Ground(Path(folder), 16, rate=3.0, slack_s=1.0, seeds=1) as ground:
-                first, *rest = ground.places
+            async with Cluster(Path(folder), 16, rate=3.0, slack_s=1.0, seeds=1) as cluster:
+                first, *rest = cluster.places
                 began = asyncio.get_running_loop().time()
-                await ground.start(*rest)
-                await ground.serving(*rest)
-                ground.load()
+                await cluster.start(*rest)
+                await cluster.serving(*rest)
+                cluster.load()
                 await asyncio.sleep(max(0.0, began + 10.0 - asyncio.get_running_loop().time()))
-                views = await ground.views()
-                self.assertEqual({len(ground.here(view)) for view in views.values()}, {1})
+                views = await cluster.views()
+                self.assertEqual({len(cluster.here(view)) for view in views.values()}, {1})
                 self.assertLessEqual(sum(view["share"] for view in views.values()), 0.5)
-                await ground.start(first)
-                await ground.serving(first)
+                await cluster.start(first)
+                await cluster.serving(first)
 
                 async def joining() -> bool:
-                    view = await ground.view(rest[-1])
-                    return view is not None and len(ground.here(view)) > 1
+                    view = await cluster.view(rest[-1])
+                    return view is not None and len(cluster.here(view)) > 1
 
-                await ground.until(joining, "the last one has begun to join", 60.0)
-                ground.pause(rest[-1])
+                await cluster.until(joining, "the last one has begun to join", 60.0)
+                cluster.pause(rest[-1])
                 awake = [first, *rest[:-1]]
 
                 async def others() -> bool:
-                    views = await ground.views(awake)
-                    return all(set(awake) <= set(ground.here(view)) for view in views.values())
-
-                await ground.until(others, "the others know each other", 60.0)
-                ground.wake(rest[-1])
-                await ground.until(lambda: ground.agreed(), "all agree", 60.0)
-                counted = await ground.settle()
-                self.assertEqual((ground.broken, ground.ended_wrong, counted["lost"]), ([], [], 0))
+                    views = await cluster.views(awake)
+                    return all(set(awake) <= set(cluster.here(view)) for view in views.values())
+
+                await cluster.until(others, "the others know each other", 60.0)
+                cluster.wake(rest[-1])
+                await cluster.until(lambda: cluster.agreed(), "all agree", 60.0)
+                counted = await cluster.settle()
+                self.assertEqual((cluster.broken, cluster.ended_wrong, counted["lost"]), ([], [], 0))
                 self.assertNotIn("after=gone", "".join(p.read_text() for p in Path(folder).glob("*.log")))
-            self.assertEqual(ground.left_running(), 0)
+            self.assertEqual(cluster.left_running(), 0)
 
 
 class Ending(unittest.IsolatedAsyncioTestCase):
     async def test_a_replacement_that_fails_leaves_neither_of_the_two(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            async with Ground(Path(folder), 2) as ground:
-                await ground.start("r1")
-                await ground.serving("r1")
+            async with Cluster(Path(folder), 2) as cluster:
+                await cluster.start("r1")
+                await cluster.serving("r1")
                 (Path(folder) / "r1.sexp").write_text("(edge-router")  # the new one cannot start
                 with self.assertRaises(AssertionError):
-                    await ground.replace("r1", 3.0)
-                self.assertEqual(ground.left_running(), 1)
-            self.assertEqual(ground.left_running(), 0)
+                    await cluster.replace("r1", 3.0)
+                self.assertEqual(cluster.left_running(), 1)
+            self.assertEqual(cluster.left_running(), 0)
 
 
 class Commands(unittest.TestCase):
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -9,7 +9,7 @@
 
 from magpieshift.lab.experiments import rolled
 from magpieshift.lab.proving import rollouts
-from magpieshift.lab.proving.ground import Ground
+from magpieshift.lab.proving.cluster import Cluster
 from magpieshift.lab.proving.rollouts import NEW, OLD, begin, plan_for, starter
 from magpieshift.rollout.executor import Executor, Overtaken, ask
 from magpieshift.rollout.journal import read
@@ -24,39 +24,41 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
-        self.ground = await self.enterAsyncContext(Ground(self.folder, ROUTERS, rate=40.0, slack_s=1.0))
-        await begin(self.ground)
-        self.ground.load()
+        self.cluster = await self.enterAsyncContext(Cluster(self.folder, ROUTERS, rate=40.0, slack_s=1.0))
+        await begin(self.cluster)
+        self.cluster.load()
 
     async def labels(self, executor: Executor) -> dict[str, list[str]]:
         return {
             name: [figures.label for figures in (await executor.look(name)).values()]
-            for name in self.ground.places
+            for name in self.cluster.places
         }
 
     async def end(self) -> None:
-        counted = await self.ground.settle()
-        self.assertEqual((self.ground.broken, self.ground.ended_wrong), ([], []))
+        counted = await self.cluster.settle()
+        self.assertEqual((self.cluster.broken, self.cluster.ended_wrong), ([], []))
         self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
-        await self.ground.close()
-        self.assertEqual(self.ground.left_running(), 0)
+        await self.cluster.close()
+        self.assertEqual(self.cluster.left_running(), 0)
 
     async def test_a_good_one_is_broken_off_resumed_and_loses_nothing(self) -> None:
-        ground = self.ground
-        plan = plan_for(ground, **{"worse-by": {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}})
+        cluster = self.cluster
+        plan = plan_for(
+            cluster, **{"worse-by": {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}}
+        )
         state = self.folder / "state"
-        first = asyncio.ensure_future(Runner(plan, state, starter(ground)).run())
+        first = asyncio.ensure_future(Runner(plan, state, starter(cluster)).run())
 
         async def changed() -> bool:
             return any(record["what"] == "intent" for record in read(state))
 
-        await ground.until(changed, "the first step is begun", 60.0)
+        await cluster.until(changed, "the first step is begun", 60.0)
         first.cancel()  # in the middle of it
         await asyncio.wait([first])
-        status = await asyncio.wait_for(Runner(plan, state, starter(ground)).run(), 120.0)
-        self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
+        status = await asyncio.wait_for(Runner(plan, state, starter(cluster)).run(), 120.0)
+        self.assertEqual((status["way"], status["new"]), ("ended", sorted(cluster.places)), status)
         executor = Executor(plan, 0)
-        self.assertEqual(await self.labels(executor), {name: [NEW] for name in ground.places})
+        self.assertEqual(await self.labels(executor), {name: [NEW] for name in cluster.places})
         report = rolled.write(state).read_text()
         self.assertIn("Rollout proving: ended", report)
         self.assertIn("data:image/png;base64,", report)
@@ -64,60 +66,60 @@
         self.assertEqual(len(steps), len(set(steps)))
         with self.subTest("an older coordinator is turned down, and what it starts does not serve"):
             with self.assertRaises(Overtaken):
-                await Executor(plan, 1, starter(ground)).replace("r0", OLD)
-            place = ground.places["r0"]
+                await Executor(plan, 1, starter(cluster)).replace("r0", OLD)
+            place = cluster.places["r0"]
             door = next(iter(await executor.look("r0")))
             self.assertRegex(str(await ask(door, "AS 1 END")), "term 1 is over, the latest is 2")
             serving, place.process = place.process, None
             free = next(port for port in place.doors if port != door[1])
-            await ground.beside("r0", free, ("--label", OLD, "--term", "1"))
+            await cluster.beside("r0", free, ("--label", OLD, "--term", "1"))
             assert place.process is not None
             self.assertEqual(await asyncio.wait_for(place.process.wait(), 30.0), 2)
             place.process, place.console = serving, door[1]
-            self.assertEqual(await self.labels(executor), {name: [NEW] for name in ground.places})
+            self.assertEqual(await self.labels(executor), {name: [NEW] for name in cluster.places})
         await self.end()
 
     async def test_a_silent_router_is_waited_for_and_one_emptied_by_hand_is_not_judged(self) -> None:
-        ground = self.ground
+        cluster = self.cluster
         loose = {"served": 0.5, "processor": 9.0, "memory-mb-per-min": 900.0}
         stages = {"all": {"share": 1.0, "soak-s": 1.0}}
-        plan = plan_for(ground, **{"worse-by": loose, "step-s": 8.0, "stages": stages})
+        plan = plan_for(cluster, **{"worse-by": loose, "step-s": 8.0, "stages": stages})
         state = self.folder / "state"
         seen: list[str] = []
         running = asyncio.ensure_future(
-            Runner(plan, state, starter(ground), lambda status: seen.append(str(status["why"]))).run()
+            Runner(plan, state, starter(cluster), lambda status: seen.append(str(status["why"]))).run()
         )
 
         async def begun() -> bool:
             return any(record["what"] == "done" for record in read(state))
 
-        await ground.until(begun, "the first has been changed", 60.0)
+        await cluster.until(begun, "the first has been changed", 60.0)
         # the last to be changed, so that no step is under way there, and the first, which is changed already
         by_hand, *_, still = plan.stages[0].targets
-        ground.pause(still)
-        self.assertEqual(await ground.call(by_hand, "LAMEDUCK"), "OK lame-duck")
+        cluster.pause(still)
+        self.assertEqual(await cluster.call(by_hand, "LAMEDUCK"), "OK lame-duck")
 
         async def waits() -> bool:
             return any("away" in why and still in why for why in seen)
 
-        await ground.until(waits, "it is away, and nothing is begun", 90.0)
-        ground.wake(still)
+        await cluster.until(waits, "it is away, and nothing is begun", 90.0)
+        cluster.wake(still)
         status = await asyncio.wait_for(running, 120.0)
-        self.assertEqual((status["way"], status["new"]), ("ended", sorted(ground.places)), status)
+        self.assertEqual((status["way"], status["new"]), ("ended", sorted(cluster.places)), status)
         await self.end()
 
     async def test_one_that_cannot_start_is_put_back_and_one_that_says_no_to_some_as_well(self) -> None:
-        ground = self.ground
+        cluster = self.cluster
         for defect, by, why in (("no-start", 0.0, "could not be changed"), ("worse", 0.6, "served in time")):
             with self.subTest(defect):
-                plan = plan_for(ground, **{"step-s": 2.0 if defect == "no-start" else 15.0, "name": defect})
+                plan = plan_for(cluster, **{"step-s": 2.0 if defect == "no-start" else 15.0, "name": defect})
                 state = self.folder / defect
-                runner = Runner(plan, state, starter(ground, defect, by))
+                runner = Runner(plan, state, starter(cluster, defect, by))
                 status = await asyncio.wait_for(runner.run(), 120.0)
-                self.assertEqual((status["way"], status["old"]), ("ended", sorted(ground.places)), status)
+                self.assertEqual((status["way"], status["old"]), ("ended", sorted(cluster.places)), status)
                 self.assertIn(why, status["why"])
                 self.assertEqual(
-                    await self.labels(Executor(plan, 0)), {name: [OLD] for name in ground.places}
+                    await self.labels(Executor(plan, 0)), {name: [OLD] for name in cluster.places}
                 )
         await self.end()
 
--- a/tests/test_overload_processes.py
+++ b/tests/test_overload_processes.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from magpieshift.lab.proving.ground import Ground
+from magpieshift.lab.proving.cluster import Cluster
 
 ROUTERS = 6
 BACK = 0.95
@@ -18,55 +18,55 @@
         asyncio.get_running_loop().set_debug(False)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.ground = await self.enterAsyncContext(
-            Ground(Path(folder.name), ROUTERS, rate=25.0, slack_s=1.0, boxes=3, hubs=2)
+        self.cluster = await self.enterAsyncContext(
+            Cluster(Path(folder.name), ROUTERS, rate=25.0, slack_s=1.0, boxes=3, hubs=2)
         )
 
     async def back(self, usual: float, after: str) -> None:
         async def well() -> bool:
-            return self.ground.service() >= BACK * usual
+            return self.cluster.service() >= BACK * usual
 
         await asyncio.sleep(6.0)  # until the seconds looked at are those after it
-        await self.ground.until(well, f"service is back after {after}", 60.0)
+        await self.cluster.until(well, f"service is back after {after}", 60.0)
 
     async def test_the_hard_cases_one_after_another(self) -> None:
-        ground, names = self.ground, list(self.ground.places)
-        await ground.start(*names)
-        await ground.serving(*names)
-        ground.load()
+        cluster, names = self.cluster, list(self.cluster.places)
+        await cluster.start(*names)
+        await cluster.serving(*names)
+        cluster.load()
         await asyncio.sleep(8.0)  # caches fill
-        usual = ground.service()
+        usual = cluster.service()
         self.assertGreater(usual, 0.5)
 
         with self.subTest("the origin is slow for all"):
-            await ground.stores.fail("slow", "origin", 5.0, by=400)
+            await cluster.stores.fail("slow", "origin", 5.0, by=400)
             await self.back(usual, "a slow origin")
 
         with self.subTest("a parent dies and returns cold"):
-            await ground.stores.fail("die", "hub1", 3.0)
+            await cluster.stores.fail("die", "hub1", 3.0)
             await self.back(usual, "a dead parent")
 
         with self.subTest("a cache answers every second request with an error"):
-            await ground.stores.fail("err", "box1", 4.0, by=0.5)
+            await cluster.stores.fail("err", "box1", 4.0, by=0.5)
             await self.back(usual, "errors")
 
         with self.subTest("four of six are killed under load, and another stands still with full queues"):
             for name in names[2:]:
-                ground.kill(name)
-            await ground.died(*names[2:])
-            ground.pause(names[1])
+                cluster.kill(name)
+            await cluster.died(*names[2:])
+            cluster.pause(names[1])
             await asyncio.sleep(2.0)
-            await ground.start(*names[2:])
+            await cluster.start(*names[2:])
             await asyncio.sleep(3.0)
-            ground.wake(names[1])
-            await ground.serving(*names[2:])
+            cluster.wake(names[1])
+            await cluster.serving(*names[2:])
             await self.back(usual, "four are killed")
 
-        counted = await ground.settle()
-        self.assertEqual((ground.broken, ground.ended_wrong), ([], []))
+        counted = await cluster.settle()
+        self.assertEqual((cluster.broken, cluster.ended_wrong), ([], []))
         self.assertEqual((counted["lost"], counted["doubles"]), (0, 0))
-        await ground.close()
-        self.assertEqual(ground.left_running(), 0)
+        await cluster.close()
+        self.assertEqual(cluster.left_running(), 0)
 
 
 if __name__ == "__main__":
