--- a/magpieshift/lab/experiments/scenario.py
+++ b/magpieshift/lab/experiments/scenario.py
@@ -11,8 +11,8 @@
 
 from magpieshift.config import read_text
 from magpieshift.control import sexp
-from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
+from magpieshift.control.validation import Form, Seconds, checked
 from magpieshift.lab.standins.emulated import places
 
 HEAD = "scenario"
--- a/magpieshift/lab/proving/scenario.py
+++ b/magpieshift/lab/proving/scenario.py
@@ -11,8 +11,8 @@
 
 from magpieshift.config import ConfigError, read_text
 from magpieshift.control import sexp
-from magpieshift.control.forms import Form, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
+from magpieshift.control.validation import Form, Seconds, checked
 from magpieshift.lab.proving.network import ANY, CLIENTS, LOG, ROUTERS
 from magpieshift.lab.standins.emulated import places
 
--- a/magpieshift/rollout/plan.py
+++ b/magpieshift/rollout/plan.py
@@ -13,8 +13,8 @@
 
 from magpieshift.config import Address, ConfigError, address, read_text
 from magpieshift.control import sexp
-from magpieshift.control.forms import Form, Lines, Seconds, checked
 from magpieshift.control.sexp import Problem, Unusable
+from magpieshift.control.validation import Form, Lines, Seconds, checked
 
 HEAD = "rollout"
 Word = Annotated[str, Field(pattern=r"^[!-~]{1,64}$")]
