--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,6 @@
 lint: build
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
-	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 # EDGE_CONFIG names the configuration; EDGE_LISTEN and EDGE_NAME win over what it says.
