--- /dev/null
+++ b/magpieshift/lab/experiments/version_maker.py
@@ -0,0 +1,75 @@
+"""Versions of a router's settings, usable and not, drawn from a seed."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+from typing import Any
+
+from magpieshift.control import sexp
+from magpieshift.control.publisher import Published
+
+
+class VersionMaker:
+    """Makes versions, usable and not, from a seed."""
+
+    def __init__(self, data: dict[str, Any], rand: random.Random) -> None:
+        self.data, self._random = data, rand
+        self.number = 0
+
+    def usable(self) -> Published:
+        """The next version: some figures differ; classes, zones and load reports come and go."""
+        rand, data = self._random, copy.deepcopy(self.data)
+        classes, zones = data["classes"], data["zones"]
+        what = rand.randrange(6)
+        name = f"extra{rand.randrange(5)}"
+        if what == 0:
+            data["attempts"]["connect-timeout-ms"] = rand.randint(100, 900)
+            data["limits"] = {"memory-mb": rand.randint(64, 128), "sockets": rand.randint(256, 900)}
+        elif what == 1 and name in classes:
+            del classes[name]
+        elif what == 1:
+            classes[name] = copy.deepcopy(classes[rand.choice(["picture", "basket"])])
+        elif what == 2:
+            cls = classes[rand.choice(list(classes))]
+            cls["aim-ms"] = rand.randint(200, 900)
+            cls["deadline-ms"] = rand.randint(1500, 4000)
+        elif what == 3:
+            data["connections"] = {"idle-ms": rand.randint(2000, 20000), "streams": rand.randint(4, 64)}
+        elif what == 4:
+            data["stores"]["report"] = rand.sample(["load_share", "concurrent", "depth", "tps"], 2)
+        else:
+            spare = f"spare{rand.randrange(3)}"
+            if spare in zones:
+                del zones[spare]
+            else:
+                zones[spare] = {"routers": 1}
+                data["zones"] = dict(sorted(zones.items(), key=lambda _: rand.random()))  # numbered anew
+        data["stores"]["answer-slack-ms"] = rand.randint(1, 10_000) / 1000  # no two versions alike
+        self.number += 1 if rand.random() > 0.1 else rand.randint(2, 5)  # some leave numbers out
+        self.data = data
+        return Published.of(self.number, sexp.write(data))
+
+    def unusable(self) -> tuple[str, Published]:
+        """A version that must be turned down, and in what way."""
+        ways: dict[str, Callable[[dict[str, Any]], None]] = {
+            "unknown entry": lambda d: d.update(colour="red"),
+            "wrong type": lambda d: d["limits"].update(sockets="many"),
+            "out of range": lambda d: d["limits"].update({"memory-mb": -1}),
+            "entry missing": lambda d: d.pop("kinds"),
+            "no such zone": lambda d: d.update(zone="moon"),
+            "not a number": lambda d: d["attempts"].update({"connect-timeout-ms": float("nan")}),
+            "aim above deadline": lambda d: d["classes"]["picture"].update({"aim-ms": 99_000}),
+            "binds at start": lambda d: d.update(listen="127.0.0.1:9"),
+            "stores are listed there": lambda d: (d["zones"].pop("shop"), d.update(zone="hub")),  # type: ignore
+            "another version's number inside": lambda d: d.update(version=self.number + 7),
+        }
+        texts = {"bracket open": "(magpieshift (name x)", "deep": "(magpieshift " + "(a " * 3000 + ")" * 3001}
+        way = self._random.choice([*ways, *texts])
+        self.number += 1
+        if way in texts:
+            return way, Published.of(self.number, texts[way])
+        data = copy.deepcopy(self.data)
+        ways[way](data)
+        return way, Published.of(self.number, sexp.write(data))
--- a/magpieshift/lab/experiments/versions.py
+++ b/magpieshift/lab/experiments/versions.py
@@ -10,20 +10,18 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import random
 import signal
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import click
-from hdrh.histogram import HdrHistogram
 
 from magpieshift.app import expected
 from magpieshift.control import sexp
@@ -33,12 +31,18 @@
 from magpieshift.control.service import ControlService, Stream
 from magpieshift.control.session import running_digests
 from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.lab.experiments.version_maker import VersionMaker
+from magpieshift.lab.experiments.version_report import Report
 from magpieshift.lab.standins import peers
 from magpieshift.lab.standins.world import World
 
 PATIENCE_S = 20.0
 TOO_LARGE = 64 << 20
 ROUTER = (sys.executable, "-m", "magpieshift")
+UNUSABLE = {  # what must be turned down, and how often each is drawn
+    "version": 12, "digest": 1, "step back": 1, "other content": 1, "noise": 1, "truncated": 1, "empty": 1,
+    "unknown base": 1,
+}  # fmt: skip
 
 
 @dataclass(frozen=True)
@@ -55,111 +59,6 @@
     members: int = 2  # caches in the list; the others of a large one are never asked
 
 
-@dataclass
-class Report:
-    """What was seen."""
-
-    sent: int = 0
-    accepted: int = 0
-    rejected: int = 0
-    unanswered: int = 0  # the answer went down with its connection; the next hello told what is in force
-    kills: int = 0
-    breaks: int = 0
-    half_applied: int = 0
-    mismatches: int = 0
-    requests: int = 0
-    lost_requests: int = 0
-    cut_requests: int = 0  # open when the router was killed
-    double_answers: int = 0
-    second_attempts: int = 0
-    seconds: float = 0.0
-    unusable: dict[str, int] = field(default_factory=dict)
-    findings: list[str] = field(default_factory=list)
-    apply_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
-    pause_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
-
-    @property
-    def good(self) -> bool:
-        broken = self.half_applied or self.mismatches or self.lost_requests or self.double_answers
-        return not (broken or self.second_attempts or self.findings) and self.accepted > 0
-
-    def figures(self) -> dict[str, Any]:
-        plain = {
-            name: value
-            for name, value in vars(self).items()
-            if name not in ("findings", "apply_us", "pause_us")
-        }
-        for name, histogram in (("apply", self.apply_us), ("pause", self.pause_us)):
-            for percent in (50, 99):
-                value = histogram.get_value_at_percentile(percent) / 1000
-                plain[f"{name}_ms_p{percent}"] = round(value, 3)
-        return plain | {"findings": len(self.findings)}
-
-
-class Versions:
-    """Makes versions, usable and not, from a seed."""
-
-    def __init__(self, data: dict[str, Any], rand: random.Random) -> None:
-        self.data, self._random = data, rand
-        self.number = 0
-
-    def usable(self) -> Published:
-        """The next version: some figures differ; classes, zones and load reports come and go."""
-        rand, data = self._random, copy.deepcopy(self.data)
-        classes, zones = data["classes"], data["zones"]
-        what = rand.randrange(6)
-        name = f"extra{rand.randrange(5)}"
-        if what == 0:
-            data["attempts"]["connect-timeout-ms"] = rand.randint(100, 900)
-            data["limits"] = {"memory-mb": rand.randint(64, 128), "sockets": rand.randint(256, 900)}
-        elif what == 1 and name in classes:
-            del classes[name]
-        elif what == 1:
-            classes[name] = copy.deepcopy(classes[rand.choice(["picture", "basket"])])
-        elif what == 2:
-            cls = classes[rand.choice(list(classes))]
-            cls["aim-ms"] = rand.randint(200, 900)
-            cls["deadline-ms"] = rand.randint(1500, 4000)
-        elif what == 3:
-            data["connections"] = {"idle-ms": rand.randint(2000, 20000), "streams": rand.randint(4, 64)}
-        elif what == 4:
-            data["stores"]["report"] = rand.sample(["load_share", "concurrent", "depth", "tps"], 2)
-        else:
-            spare = f"spare{rand.randrange(3)}"
-            if spare in zones:
-                del zones[spare]
-            else:
-                zones[spare] = {"routers": 1}
-                data["zones"] = dict(sorted(zones.items(), key=lambda _: rand.random()))  # numbered anew
-        data["stores"]["answer-slack-ms"] = rand.randint(1, 10_000) / 1000  # no two versions alike
-        self.number += 1 if rand.random() > 0.1 else rand.randint(2, 5)  # some leave numbers out
-        self.data = data
-        return Published.of(self.number, sexp.write(data))
-
-    def unusable(self) -> tuple[str, Published]:
-        """A version that must be turned down, and in what way."""
-        ways: dict[str, Callable[[dict[str, Any]], None]] = {
-            "unknown entry": lambda d: d.update(colour="red"),
-            "wrong type": lambda d: d["limits"].update(sockets="many"),
-            "out of range": lambda d: d["limits"].update({"memory-mb": -1}),
-            "entry missing": lambda d: d.pop("kinds"),
-            "no such zone": lambda d: d.update(zone="moon"),
-            "not a number": lambda d: d["attempts"].update({"connect-timeout-ms": float("nan")}),
-            "aim above deadline": lambda d: d["classes"]["picture"].update({"aim-ms": 99_000}),
-            "binds at start": lambda d: d.update(listen="127.0.0.1:9"),
-            "stores are listed there": lambda d: (d["zones"].pop("shop"), d.update(zone="hub")),  # type: ignore
-            "another version's number inside": lambda d: d.update(version=self.number + 7),
-        }
-        texts = {"bracket open": "(magpieshift (name x)", "deep": "(magpieshift " + "(a " * 3000 + ")" * 3001}
-        way = self._random.choice([*ways, *texts])
-        self.number += 1
-        if way in texts:
-            return way, Published.of(self.number, texts[way])
-        data = copy.deepcopy(self.data)
-        ways[way](data)
-        return way, Published.of(self.number, sexp.write(data))
-
-
 class Experiment:
     """Owner of the stand-ins, the router's process, and what is known of its versions."""
 
@@ -301,32 +200,18 @@
         if self._stream is not None and (nonce := self._stream.subscriber.nonce):
             self._open[nonce] = (version.number, True)
 
-    def _send_unusable(self, versions: Versions) -> str:
+    def _send_unusable(self, versions: VersionMaker) -> str:
         """Send one that must be turned down; in what way."""
         assert self._stream is not None
-        stream, rand = self._stream, self._random
-        who, publisher = stream.subscriber, self._service.publisher
-        way = rand.choices(
-            [
-                "version",
-                "digest",
-                "step back",
-                "other content",
-                "noise",
-                "truncated",
-                "empty",
-                "unknown base",
-            ],
-            [12, 1, 1, 1, 1, 1, 1, 1],
-        )[0]
-        newest = publisher.newest
+        publisher, newest = self._service.publisher, self._service.publisher.newest
+        way = self._random.choices(list(UNUSABLE), list(UNUSABLE.values()))[0]
         if newest is None:
             way = "version"
         if way in ("noise", "truncated", "empty"):
-            whole = publisher.send(replace(who), newest or Published.of(1, "x"), whole=True)
-            cut = whole[: rand.randrange(1, len(whole) - 1)]
-            stream.send({"noise": b"\xff" + rand.randbytes(40), "truncated": cut, "empty": b"\x12\x00"}[way])
-            self._malformed_open += 1
+            self._send_malformed(way, newest or Published.of(1, "x"))
+            return way
+        if way == "unknown base":
+            self._send_unknown_base(versions.usable())
             return way
         if way == "version":
             way, version = versions.unusable()
@@ -335,25 +220,36 @@
             version = replace(Published.of(versions.number, sexp.write(versions.data)), digest="0" * 32)
         elif way == "step back":
             version = Published.of(max(1, versions.number - 3), sexp.write(versions.data | {"tick-ms": 9}))
-        elif way == "other content":
+        else:
             assert newest is not None
             version = Published.of(newest.number, sexp.write(versions.data | {"tick-ms": 8}))
-        else:  # a delta against what the router never had: turned down, and then sent whole
-            version = versions.usable()
-            self._documents[version.number] = replace(load_data(version.data or {}), version=version.number)
-            publisher.publish(version)
-            message = wire.FromControl.FromString(publisher.send(who, version))
-            message.version.ClearField("full")
-            message.version.delta.base_digest = "f" * 32
-            self._open[who.nonce] = (version.number, True)
-            stream.send(message.SerializeToString())
-            return way
         # a delta would repair the digest or fail otherwise; the way is meant to be the reason
         sender = Subscriber(digest="")
-        stream.send(publisher.send(sender, version, whole=True))
+        self._stream.send(publisher.send(sender, version, whole=True))
         self._open[sender.nonce] = (version.number, False)
         return way
 
+    def _send_malformed(self, way: str, version: Published) -> None:
+        """Bytes that are no message, or a part of one."""
+        assert self._stream is not None
+        stream, rand = self._stream, self._random
+        whole = self._service.publisher.send(replace(stream.subscriber), version, whole=True)
+        cut = whole[: rand.randrange(1, len(whole) - 1)]
+        stream.send({"noise": b"\xff" + rand.randbytes(40), "truncated": cut, "empty": b"\x12\x00"}[way])
+        self._malformed_open += 1
+
+    def _send_unknown_base(self, version: Published) -> None:
+        """A delta against what the router never had: turned down, and then sent whole."""
+        assert self._stream is not None
+        who, publisher = self._stream.subscriber, self._service.publisher
+        self._documents[version.number] = replace(load_data(version.data or {}), version=version.number)
+        publisher.publish(version)
+        message = wire.FromControl.FromString(publisher.send(who, version))
+        message.version.ClearField("full")
+        message.version.delta.base_digest = "f" * 32
+        self._open[who.nonce] = (version.number, True)
+        self._stream.send(message.SerializeToString())
+
     async def _send_too_large(self) -> None:
         """A message over the router's bound ends the stream; the next hello tells why."""
         assert self._stream is not None
@@ -370,7 +266,7 @@
         plan, rand, began = self._plan, self._random, time.monotonic()
         world = World()
         await world.start(plan.members)
-        versions = Versions(world.settings(), rand)
+        versions = VersionMaker(world.settings(), rand)
         start = world.write_settings(folder)
         self._documents[0] = load_data(versions.data)
         await self._service.start("127.0.0.1:0")
@@ -422,7 +318,7 @@
         places = self._random.sample(range(1, max(2, plan.count)), min(len(kinds), max(0, plan.count - 1)))
         return dict(zip(sorted(places), kinds, strict=False))
 
-    async def _one(self, versions: Versions, event: str, command: Sequence[str]) -> None:
+    async def _one(self, versions: VersionMaker, event: str, command: Sequence[str]) -> None:
         """One version, with what happens about it; some are sent while others are still open."""
         rand = self._random
         if rand.random() > 0.15:
