--- a/magpieshift/capture/cut.py
+++ b/magpieshift/capture/cut.py
@@ -53,5 +53,5 @@
             kept.append(record)
     batches = sum(1 for record in kept if record.HasField("batch"))
     if header is None or not begun or not batches:
-        raise CaptureError("nothing lies there that can be replayed")
+        raise CaptureError(f"nothing that can be replayed lies from {from_us} us to {to_us} us")
     return batches, segments.write_file(path, [wire.Record(header=header), *kept])
--- a/magpieshift/lab/experiments/report.py
+++ b/magpieshift/lab/experiments/report.py
@@ -57,7 +57,8 @@
         first = err.errors(include_url=False)[0]
         place = " ".join(map(str, first["loc"])) or "the whole"
         raise ConfigError(
-            f"{path} is no saved episode: {place}: found {first['input']!r:.80}, expected {first['msg']}"
+            f"{path} is no saved episode: {place}: found {first['input']!r:.80}, "
+            f"expected {first['msg'].removeprefix('Input should be ')}"
         ) from err
     found: Run = json.loads(text)
     return found
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -100,7 +100,7 @@
     "capture why": [*((f"{words} 1", said) for words, said in CAPTURES), ("{capture} 1", "{capture}")],
     "capture cut": [
         *((f"{words} {{none}} --from 0 --to 1", said) for words, said in CAPTURES),
-        ("{capture} {none} --from 5 --to 1", "nothing lies there"),
+        ("{capture} {none} --from 5 --to 1", "nothing that can be replayed lies from"),
         ("{capture} {folder} --from 0 --to 1", "OUT"),
         ("{capture} {under} --from 0 --to 1", "OUT"), ("{capture} {none} --from nan --to 1", "--from"),
         ("{capture} {none} --from 0", "--to"),
@@ -146,7 +146,8 @@
         ("--save {folder}", "--save"), ("--capture {text}", "--capture"),
     ],
     "lab report": [
-        *FILES, ("{json}", "{json} is no saved episode: slices: found"), ("{json} --out {folder}", "--out"),
+        *FILES, ("{json}", "{json} is no saved episode: slices: found 3, expected a valid"),
+        ("{json} --out {folder}", "--out"),
     ],
     "lab demo": [("--seconds nan", "--seconds"), ("--out {under}", "--out")],
 }  # fmt: skip
