--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -222,8 +222,9 @@
     from magpieshift.cli import show
     from magpieshift.lab.proving import rollouts as proving
     from magpieshift.lab.simulated import rollout as simulation
+    from magpieshift.lab.simulated import rollout_scenarios
 
-    known = simulation.SCENARIOS if simulated else proving.SCENARIOS
+    known = rollout_scenarios.SCENARIOS if simulated else proving.SCENARIOS
     if scenario and scenario not in known:
         raise click.UsageError(f"--scenario: found {scenario}, expected one of {', '.join(known)}")
     if not simulated and routers and not LEAST_REAL <= routers <= MOST_REAL:
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -15,6 +15,8 @@
 
 from magpieshift.control.sexp import Unusable, read
 from magpieshift.lab.simulated import rollout as lab
+from magpieshift.lab.simulated.rollout_fleet import plan_of
+from magpieshift.lab.simulated.rollout_scenarios import SCENARIOS
 from magpieshift.rollout import journal, plan
 from magpieshift.rollout.coordinator import Action, Coordinator, Judged, Replace, Way, Write, fold
 from magpieshift.rollout.figures import Figures, Unreadable, gain
@@ -458,8 +460,8 @@
         for name in ("same", "same-with-outage", "worse-zone", "late-crash", "mute", "no-start", "leak"):
             with self.subTest(name):
                 out = lab.play(name, 16, 3)
-                self.assertEqual((out.stopped, out.terms_at_once), (lab.SCENARIOS[name].bad, 0), out)
-                self.assertLessEqual(out.most_away, lab.plan_of(16).most_away)
+                self.assertEqual((out.stopped, out.terms_at_once), (SCENARIOS[name].bad, 0), out)
+                self.assertLessEqual(out.most_away, plan_of(16).most_away)
 
 
 if __name__ == "__main__":
