Judge zones in their order, so that a seed gives the same rollout

The judge went through a set of zone names, whose order differs from process to process; what it sums are floats, so verdicts near a bound fell at other moments.

--- a/magpieshift/rollout/judge.py
+++ b/magpieshift/rollout/judge.py
@@ -192,7 +192,7 @@
 
     def _sum(self, gains: Mapping[tuple[str, str], list[Gain]]) -> None:
         asked_old = served_old = 0
-        for zone in {zone for zone, _ in gains}:
+        for zone in sorted({zone for zone, _ in gains}):  # sums of floats depend on the order
             sides = [gains.get((zone, side), []) for side in (self.new, self.old)]
             for name in sorted({c for each in sides for g in each for c in g.classes}):
                 rows = [[g.classes[name] for g in each if name in g.classes] for each in sides]
--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import os
 import random
+import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import Iterator
@@ -463,6 +466,18 @@
                 self.assertEqual((out.stopped, out.terms_at_once), (SCENARIOS[name].bad, 0), out)
                 self.assertLessEqual(out.most_away, plan_of(16).most_away)
 
+    def test_a_seed_gives_the_same_rollout_in_every_process(self) -> None:
+        """Sets of words come in another order in each process: what is summed must not go by it."""
+        code = "from magpieshift.lab.simulated.rollout import play; print(play('worse-class', 24, 3))"
+        found = {
+            subprocess.run(
+                [sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": str(hash_seed)},
+                capture_output=True, text=True, check=True,
+            ).stdout
+            for hash_seed in range(4)
+        }  # fmt: skip
+        self.assertEqual(len(found), 1, found)
+
 
 if __name__ == "__main__":
     unittest.main()
