Name the laboratory's reports and the exploration of membership

lab/experiments: rolled -> rollout_report, report -> episode_report, explored -> membership_exploration.

--- a/magpieshift/cli/captures.py
+++ b/magpieshift/cli/captures.py
@@ -224,7 +224,7 @@
     from pathlib import Path
 
     from magpieshift.lab.experiments import episode as episodes
-    from magpieshift.lab.experiments import report as reports
+    from magpieshift.lab.experiments import episode_report as reports
 
     with _progress(scenario.seconds, progress) as bar:
         done = [0]
@@ -250,7 +250,7 @@
 @click.option("--out", default="report.html", show_default=True, type=NewFile())
 def report_(runs: Iterable[str], out: str) -> None:
     """Put saved runs side by side in one HTML file."""
-    from magpieshift.lab.experiments import report as reports
+    from magpieshift.lab.experiments import episode_report as reports
 
     reports.write(out, {name: reports.load(name) for name in runs})
     click.echo(out)
--- a/magpieshift/cli/fleet.py
+++ b/magpieshift/cli/fleet.py
@@ -119,9 +119,9 @@
     from magpieshift.cli import show
 
     if explore:
-        from magpieshift.lab.experiments import explored
+        from magpieshift.lab.experiments import membership_exploration
 
-        whole = vars(explored.explore(explore))
+        whole = vars(membership_exploration.explore(explore))
         if as_json:
             show.as_json(whole)
         else:
--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -149,11 +149,11 @@
 @STATE
 def report(state: str) -> None:
     """An HTML report with plots of a rollout, under way or over; needs the laboratory's libraries."""
-    from magpieshift.lab.experiments import rolled
+    from magpieshift.lab.experiments import rollout_report
     from magpieshift.rollout.journal import JournalError
 
     try:
-        click.echo(rolled.write(Path(state)))
+        click.echo(rollout_report.write(Path(state)))
     except (JournalError, ValueError) as err:
         raise ConfigError(str(err)) from err
 
--- a/tests/capture/test_process.py
+++ b/tests/capture/test_process.py
@@ -15,7 +15,7 @@
 from magpieshift.capture.replay import Replay
 from magpieshift.control import sexp
 from magpieshift.control.sexp import Unusable
-from magpieshift.lab.experiments import episode, report, scenario
+from magpieshift.lab.experiments import episode, episode_report, scenario
 from magpieshift.lab.standins import peers
 from magpieshift.lab.standins.emulator import Rules
 from magpieshift.lab.standins.world import World
@@ -84,7 +84,7 @@
         self.assertIn("by kind", done.stdout)
         self.assertLess(len(done.stdout.splitlines()), 80)
         saved = json.loads(episode.saved(outcome))
-        report.write(str(self.folder / "r.html"), {"one": saved, "two": saved})
+        episode_report.write(str(self.folder / "r.html"), {"one": saved, "two": saved})
         self.assertIn("data:image/png;base64", (self.folder / "r.html").read_text())
 
     async def test_killed_in_the_middle_of_a_block(self) -> None:
--- a/tests/members/test_explored.py
+++ b/tests/members/test_explored.py
@@ -14,7 +14,7 @@
 import unittest
 from unittest import mock
 
-from magpieshift.lab.experiments import explored
+from magpieshift.lab.experiments import membership_exploration as explored
 from magpieshift.members import shares as machine
 from magpieshift.members.detector import Detector
 from magpieshift.members.driver import Driver
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from magpieshift.lab.experiments import rolled
+from magpieshift.lab.experiments import rollout_report
 from magpieshift.lab.proving import rollouts
 from magpieshift.lab.proving.cluster import Cluster
 from magpieshift.lab.proving.rollouts import NEW, OLD, begin, plan_for, starter
@@ -59,7 +59,7 @@
         self.assertEqual((status["way"], status["new"]), ("ended", sorted(cluster.places)), status)
         executor = Executor(plan, 0)
         self.assertEqual(await self.labels(executor), {name: [NEW] for name in cluster.places})
-        report = rolled.write(state).read_text()
+        report = rollout_report.write(state).read_text()
         self.assertIn("Rollout proving: ended", report)
         self.assertIn("data:image/png;base64,", report)
         steps = [record["step"] for record in read(state) if record["what"] == "done"]
