--- a/tests/rollout/test_rollout.py
+++ b/tests/rollout/test_rollout.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import os
 import random
+import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import Iterator
@@ -15,6 +18,8 @@
 
 from magpieshift.control.sexp import Unusable, read
 from magpieshift.lab.simulated import rollout as lab
+from magpieshift.lab.simulated.rollout_fleet import plan_of
+from magpieshift.lab.simulated.rollout_scenarios import SCENARIOS
 from magpieshift.rollout import journal, plan
 from magpieshift.rollout.coordinator import Action, Coordinator, Judged, Replace, Way, Write, fold
 from magpieshift.rollout.figures import Figures, Unreadable, gain
@@ -195,7 +200,7 @@
         self.acts: list[int] = []  # terms, in the order in which they changed anything
 
     def hold(self, term: int) -> str:
-        """As the hands do before each step."""
+        """As the executor does before each step."""
         here = [name for name in self.fences if name not in self.dark]
         if any(self.fences[name] > term for name in here):
             return "over"
@@ -458,8 +463,20 @@
         for name in ("same", "same-with-outage", "worse-zone", "late-crash", "mute", "no-start", "leak"):
             with self.subTest(name):
                 out = lab.play(name, 16, 3)
-                self.assertEqual((out.stopped, out.terms_at_once), (lab.SCENARIOS[name].bad, 0), out)
-                self.assertLessEqual(out.most_away, lab.plan_of(16).most_away)
+                self.assertEqual((out.stopped, out.terms_at_once), (SCENARIOS[name].bad, 0), out)
+                self.assertLessEqual(out.most_away, plan_of(16).most_away)
+
+    def test_a_seed_gives_the_same_rollout_in_every_process(self) -> None:
+        """Sets of words come in another order in each process: what is summed must not go by it."""
+        code = "from magpieshift.lab.simulated.rollout import play; print(play('worse-class', 24, 3))"
+        found = {
+            subprocess.run(
+                [sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": str(hash_seed)},
+                capture_output=True, text=True, check=True,
+            ).stdout
+            for hash_seed in range(4)
+        }  # fmt: skip
+        self.assertEqual(len(found), 1, found)
 
 
 if __name__ == "__main__":
