--- /dev/null
+++ b/magpieshift/lab/capacity/arithmetic.py
@@ -0,0 +1,224 @@
+"""What follows from the fleet's size and the measured slopes: the data path, and what failures cost."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from magpieshift.feed.client import MOST_PAUSE_S, SILENCE_S
+from magpieshift.lab.capacity import fleet
+from magpieshift.lab.capacity.measure import Row
+from magpieshift.lab.capacity.results import Result
+from magpieshift.lab.capacity.tables import NOT_TOLD, Results, growth, number, table
+from magpieshift.relay.limits import LEASE_US, SILENCE_US, SNAPSHOTS_PER_S
+
+LARGEST_ANSWER = 240_000  # bytes: the largest object part that stores send, and the largest measured
+HOUR_S = 3_600
+ROUTERS_PER_SITE = fleet.ROUTERS / fleet.SITES
+UNMEASURED = "unmeasured"
+
+
+def find(result: Result, role: str, resource: str) -> Row | None:
+    """A row of a result."""
+    return next((row for row in result.rows if (row.role, row.resource) == (role, resource)), None)
+
+
+def data_path(results: Results) -> str:
+    """The mean of the peak at one router, and what one process carries of it."""
+    lines = [
+        f"- {fleet.REQUESTS_PER_S:,} requests a second over {fleet.ROUTERS:,} routers are"
+        f" {fleet.REQUESTS_PER_ROUTER_S:.0f} a second at the mean router.",
+        f"- {fleet.BITS_PER_S / 1e12:g} Tbit/s over {fleet.ROUTERS:,} routers are"
+        f" {fleet.BYTES_PER_ROUTER_S / 1e6:.0f} MB a second at the mean router:"
+        f" {fleet.BYTES_PER_REQUEST / 1e3:.0f} KB a request, so a request stands for"
+        f" {fleet.BYTES_PER_REQUEST / LARGEST_ANSWER:.1f} answers of the largest size,"
+        f" {LARGEST_ANSWER:,} bytes, and the router sees"
+        f" {fleet.BYTES_PER_ROUTER_S / LARGEST_ANSWER:,.0f} such answers a second.",
+    ]
+    lines += [line for name, result in results.items() if (line := _carried(name, result))]
+    return "\n".join(lines)
+
+
+def _carried(name: str, result: Result) -> str:
+    """What one process carries by one result; empty where that did not measure it."""
+    requests, answers = (
+        find(result, "router: requests", "processor"),
+        find(result, "router: bytes of an answer", "processor"),
+    )
+    if requests is None or answers is None or not requests.at_target or answers.slope is None:
+        return ""
+    request_us = 1e4 * requests.at_target / requests.target
+    byte_us = answers.slope if answers.exponent == 1 else None
+    if byte_us is None:
+        return f"- {name}: the cost of a byte did not come out linear, so nothing is said of bytes."
+    answer_us = request_us + byte_us * LARGEST_ANSWER
+    doubt = "; the spread is nearly as large" if growth(answers) == NOT_TOLD else ""
+    cores = fleet.BYTES_PER_ROUTER_S / LARGEST_ANSWER * answer_us / 1e6
+    return (
+        f"- {name}: {fleet.REQUESTS_PER_ROUTER_S:.0f} small requests a second take"
+        f" {number(requests.at_target)}% of a core ({requests.how}), {request_us:.0f} us each; a byte adds"
+        f" {1e3 * byte_us:.3g} ns (fitted, to {number(answers.measured_to)} bytes{doubt})."
+        f" An answer of the largest size then takes {answer_us:.0f} us (fitted), so one Python process, which"
+        f" has one core, carries at most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}%"
+        " of the mean router's bytes. It carries the mean rate of small requests; it does not carry the mean"
+        f" rate of bytes, for which {cores:.1f} cores would be needed, nor what sites busier than the mean"
+        " ask for."
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """What fails, what that costs, what is promised meanwhile, and on what the cost rests."""
+
+    what: str
+    size: str
+    cost: str
+    promised: str
+    basis: str
+
+
+def failures(results: Results) -> str:
+    """What failures cost, by the newest result that has what it takes."""
+    rows = [
+        (each.what, each.size, each.cost, each.promised, each.basis)
+        for each in (*_of_routers(results), *_of_control(results), *_of_tier(results))
+    ]
+    return table(("what fails", "size", "cost", "promised meanwhile", "basis"), rows)
+
+
+def _of_routers(results: Results) -> list[Failure]:
+    requests = _newest(results, "router: requests", "processor")
+    site, zone = ROUTERS_PER_SITE, fleet.ROUTERS_PER_ZONE
+    return [
+        Failure(
+            "a router's machine (7 a day)",
+            "1 router",
+            _more(requests, 1),
+            "clients' next request goes to another router; what it had in hand is lost with it",
+            "fitted",
+        ),
+        Failure(
+            "a rack or a switch (weekly)",
+            f"a site's {site:.0f} routers",
+            _more(requests, site),
+            "the same, where the site's clients reach another site",
+            "fitted; that a rack or switch is a whole site is assumed",
+        ),
+        Failure(
+            "a zone (a few times a year)",
+            f"{zone} routers, {fleet.CACHES_PER_ZONE} caches",
+            _more(requests, zone),
+            "the others go on; the zone's objects are filled anew from parents",
+            "fitted; the fills are unmeasured",
+        ),
+    ]
+
+
+def _of_control(results: Results) -> list[Failure]:
+    purges = _newest(results, "router: purges", "processor")
+    sent = _newest(results, "router: purges", "bytes")
+    return [
+        Failure(
+            "a region cut off for an hour, on the direct change log",
+            f"{fleet.ROUTERS // fleet.REGIONS} routers",
+            _catch_up(fleet.PURGES_PER_S * HOUR_S, purges, sent),
+            "its routers serve on; they don't know what was purged, and don't bound the age of copies",
+            "a purge told by itself is measured; in a crowd it costs less, by how much is unmeasured",
+        ),
+        Failure(
+            "the change log's machine",
+            f"{fleet.ROUTERS:,} watches",
+            f"purges wait; all watches come back within {MOST_PAUSE_S:g} s of its return",
+            f"after {SILENCE_S:g} s of silence each router asks again; copies are not bounded meanwhile",
+            "assumed, from the constants in feed/client",
+        ),
+        Failure(
+            "a control service's machine",
+            f"{fleet.ROUTERS_PER_MACHINE} followers",
+            "no new versions there",
+            "routers run on what they keep on disk",
+            "assumed: no run of this size; tests/control has one router",
+        ),
+    ]
+
+
+def _of_tier(results: Results) -> list[Failure]:
+    """With routers behind the fan-out tier; none where it was not measured."""
+    relay = _newest(results, "fan-out: relay", "processor")
+    whole = _newest(results, "fan-out: snapshot", "bytes")
+    read = _newest(results, "fan-out: snapshot", "read")
+    if relay is None or whole is None or read is None:
+        return []
+    lease_s, silence_s = LEASE_US / 1e6, SILENCE_US / 1e6
+    region = fleet.ROUTERS // fleet.REGIONS
+    others = fleet.CONTROL_MACHINES - 2
+    bounded = f"without a lease of {lease_s:g} s a router takes only copies younger than that"
+    return [
+        Failure(
+            "one relay of a region",
+            f"{region // 2} routers",
+            f"after {silence_s:g} s of silence they go to the other: {_percent(relay.at_target)} for"
+            f" {region} routers",
+            f"each has {lease_s - silence_s:g} s of its lease left to find it; {bounded}",
+            f"{relay.how}; the time is by the constants, run in tests/relay",
+        ),
+        Failure(
+            "both relays of a region",
+            f"{region} routers",
+            f"they go to the {others} others, {region / others:.0f} more each, or all {region} to one at"
+            f" worst: {_percent(_sum(relay.at_target, relay.at_half))}",
+            bounded,
+            f"{relay.how}; that all go to one is the worst case and assumed",
+        ),
+        Failure(
+            "a region cut off for an hour, behind relays",
+            f"{region} routers",
+            f"a snapshot each: {_kilobytes(whole.at_target)} and {_ms(read.at_target)} of processor a router,"
+            f" at most {SNAPSHOTS_PER_S} a second from a relay",
+            bounded,
+            f"{whole.how}; the time to return is unmeasured here (`lab scale`)",
+        ),
+    ]
+
+
+def _percent(value: float | None) -> str:
+    return f"{value:.3g}% of a core" if value is not None else UNMEASURED
+
+
+def _kilobytes(value: float | None) -> str:
+    return f"{value / 1e3:.0f} KB" if value is not None else f"bytes {UNMEASURED}"
+
+
+def _ms(value: float | None) -> str:
+    return f"{value:.0f} ms" if value is not None else UNMEASURED
+
+
+def _sum(one: float | None, other: float | None) -> float | None:
+    return one + other if one is not None and other is not None else None
+
+
+def _newest(results: Results, role: str, resource: str) -> Row | None:
+    found = None
+    for result in results.values():
+        found = find(result, role, resource) or found
+    return found
+
+
+def _more(requests: Row | None, lost: float) -> str:
+    """What the routers that are left take on, if all of them share it."""
+    left = fleet.ROUTERS - lost
+    rate = fleet.REQUESTS_PER_S / left
+    text = f"{100 * lost / left:.2g}% more at each other router: {rate:.0f} requests a second"
+    if requests is None or requests.slope is None or requests.exponent is None:
+        return f"{text}; processor {UNMEASURED}"
+    added = requests.slope * (rate**requests.exponent - fleet.REQUESTS_PER_ROUTER_S**requests.exponent)
+    return f"{text}, {added:.2g} points of a core"
+
+
+def _catch_up(backlog: int, purges: Row | None, sent: Row | None) -> str:
+    """An hour's purges told to one router after the cut, at what one costs that is told by itself."""
+    text = f"{backlog:,} purges each to take in"
+    if purges is None or sent is None or purges.at_target is None or sent.at_target is None:
+        return f"{text}; {UNMEASURED}"
+    processor_s = backlog * purges.at_target / 100 / purges.target
+    megabytes = sent.at_target * HOUR_S / 1e6
+    return f"{text}: {megabytes:.0f} MB and at most {processor_s:.0f} s of a core a router"
--- /dev/null
+++ b/magpieshift/lab/capacity/roles/purges.py
@@ -0,0 +1,73 @@
+"""Router, control: what purges cost a started router that gets no requests, on the direct change log."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from magpieshift.lab.capacity import fleet
+from magpieshift.lab.capacity.role import Budget, Resource, Sample
+from magpieshift.lab.capacity.routers import HERE, CountedWorld, ready_router
+
+REMEMBERED_S = 12.0  # twice the time in which a purge is done, in the stand-ins' settings
+
+ALL_CONTROL = "all of control on a router"
+PROCESSOR = Resource("processor", "% of a core", Budget(fleet.CONTROL_CPU_PERCENT, ALL_CONTROL))
+BYTES = Resource("bytes", "bytes a second", Budget(fleet.CONTROL_BYTES_PER_S, ALL_CONTROL))
+MEMORY = Resource("memory", "MB above a router at rest", Budget(fleet.CONTROL_MB, ALL_CONTROL))
+RESIDENT = Resource("resident memory", "MB of the whole process")
+
+
+def remember(world: CountedWorld, rate: float, draw: random.Random) -> None:
+    """Tell at once what was purged in the time that a router remembers."""
+    now = time.time()
+    count = int(rate * REMEMBERED_S)
+    for number in range(count):
+        world.purge(draw, now - REMEMBERED_S * (1 - number / count))
+
+
+async def tell(world: CountedWorld, rate: float, draw: random.Random, for_s: float) -> None:
+    """Tell purges at this rate, each by itself, for about so long: a whole number of them."""
+    begun, count = time.monotonic(), max(1, round(rate * for_s))
+    for number in range(1, count + 1):
+        await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
+        world.purge(draw, time.time())
+
+
+class RouterPurges:
+    """Purges one by one at an even rate, with as many remembered as the rate makes."""
+
+    name = "router: purges"
+    by = "purges a second"
+    target = float(fleet.PURGES_PER_S)
+    sizes = (1.0, 27.0, 55.0, 110.0, 220.0, 440.0)
+    quick_sizes = (1.0, 27.0, 55.0, 110.0)
+    repeats = 2
+    simulated = False
+    resources = (PROCESSOR, BYTES, MEMORY, RESIDENT)
+
+    def __init__(self, folder: str = HERE) -> None:
+        self._folder = folder
+
+    def measure(self, size: float, seed: int, for_s: float) -> Sample:
+        return asyncio.run(self._measure(size, random.Random(seed), for_s))
+
+    async def _measure(self, rate: float, draw: random.Random, for_s: float) -> Sample:
+        async with ready_router(self._folder) as router:
+            at_rest = router.read()
+            remember(router.world, rate, draw)
+            await router.caught_up()
+            begun = router.read()
+            await tell(router.world, rate, draw, for_s)
+            ended = router.read()
+        took_s = ended.at_s - begun.at_s
+        return Sample(
+            rate,
+            {
+                "processor": 100 * (ended.processor_s - begun.processor_s) / took_s,
+                "bytes": (ended.log_bytes - begun.log_bytes) / took_s,
+                "memory": max(0.0, ended.memory_mb - at_rest.memory_mb),
+                "resident memory": ended.memory_mb,
+            },
+        )
