--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -7,7 +7,7 @@
 
 import click
 
-from magpieshift.cli import captures, configuration, laboratory, relays, rollouts, router, service
+from magpieshift.cli import captures, configuration, laboratory, relays, rollouts, router, scale, service
 from magpieshift.cli import fleet as fleet_commands
 from magpieshift.cli.errors import PROGRAM, guarded
 from magpieshift.cli.hinting import Hinting
@@ -59,6 +59,8 @@
 lab.add_command(captures.episode)
 lab.add_command(captures.report_)
 lab.add_command(captures.demo)
+lab.add_command(scale.lab_scale)
+lab.add_command(scale.scale_process)
 
 
 def run(args: Sequence[str]) -> int:
--- a/magpieshift/lab/scale/__init__.py
+++ b/magpieshift/lab/scale/__init__.py
@@ -1,1 +1,1 @@
-"""Control load on many routers at once: routers without their data path, load by rate and seed, scenarios."""
+"""The laboratory of scale: hollow routers, their stand-ins, and a load at the rates of a large fleet."""
--- /dev/null
+++ b/magpieshift/lab/scale/calibration.py
@@ -0,0 +1,241 @@
+"""Hollow routers held against real ones: the same control load on ``magpieshift run`` processes, on hollow
+routers in one process together, and on hollow routers in a process each, by turns; what each costs, and the
+ratios.
+
+Hollow routers that share a process share its wake-ups: a purge comes to all their sockets at once. Those that
+stand apart tell what is missing of a router; those together, what sharing saves besides.
+
+Memory is compared by increments: what a process has grown by, for each router, beyond one of its kind that
+has loaded its modules and holds no router.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from magpieshift.control import sexp
+from magpieshift.lab.scale.fleet import Fleet, Size
+from magpieshift.lab.scale.load import Rates, arrivals
+from magpieshift.lab.scale.player import Player
+from magpieshift.lab.scale.processes import ProcessEnded, cpu_seconds, resident_mb
+from magpieshift.lab.scale.tier import CONTROL, DirectTier
+from magpieshift.lab.scale.topology import Topology, generate
+from magpieshift.lab.standins.peers import free_port
+
+SIZES = (1, 4, 10)
+ALIKE = 0.2  # a larger difference must be explained
+START_S = 30.0
+LOOK_S = 0.1
+REST_S = 1.0  # after the start, before the load
+END_S = 8.0
+BARE = (
+    "import magpieshift.installation.runner, magpieshift.installation.following; print(flush=True); input()"
+)
+FIGURES = ("cpu_percent", "bytes_s", "mb")
+
+
+class Kind(Enum):
+    """What is measured."""
+
+    REAL = "real"
+    TOGETHER = "together"  # hollow, in one process
+    APART = "apart"  # hollow, a process each
+
+    def workers(self, routers: int) -> int:
+        """Processes of hollow routers."""
+        return {Kind.REAL: 0, Kind.TOGETHER: 1, Kind.APART: routers}[self]
+
+
+@dataclass(frozen=True)
+class Calibration:
+    """What is to be measured."""
+
+    runs: int = 3
+    seed: int = 1
+    seconds: float = 10.0
+    caches: int = 1000
+    sizes: Sequence[int] = SIZES
+
+
+@dataclass(frozen=True)
+class Cost:
+    """What one router costs: percent of a core, bytes a second (None: unknown), MB of increment."""
+
+    cpu_percent: float
+    bytes_s: float | None
+    mb: float
+
+
+class RealRouters:
+    """Owner of router processes that follow a fleet's change log and control service."""
+
+    def __init__(self, fleet: Fleet, tier: DirectTier, count: int, folder: Path) -> None:
+        self._fleet, self._tier, self._count, self._folder = fleet, tier, count, folder
+        self._processes: list[asyncio.subprocess.Process] = []
+
+    async def start(self) -> None:
+        """Start them all; returns once all follow."""
+        path = self._folder / "settings.sexp"
+        path.write_text(sexp.write(self._fleet.settings), encoding="utf-8")
+        control = f"127.0.0.1:{self._tier.control.ports[CONTROL]}"
+        environ = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+        for number in range(self._count):
+            listen = f"127.0.0.1:{free_port()}"
+            self._processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "magpieshift",
+                    "run",
+                    "--config",
+                    str(path),
+                    "--control",
+                    control,
+                    "--name",
+                    f"r{number}",
+                    "--listen",
+                    listen,
+                    env=environ,
+                    stdin=asyncio.subprocess.DEVNULL,
+                    stdout=asyncio.subprocess.DEVNULL,
+                    stderr=asyncio.subprocess.DEVNULL,
+                )  # fmt: skip
+            )
+        async with asyncio.timeout(START_S):
+            while not await self._all_follow():
+                await asyncio.sleep(LOOK_S)
+
+    async def _all_follow(self) -> bool:
+        if any(process.returncode is not None for process in self._processes):
+            raise ProcessEnded("a router process has ended at its start")
+        watches = (await self._fleet.log_report()).watches
+        return watches == self._count and await self._tier.followers() == self._count
+
+    def cpu_s(self) -> float:
+        return sum(cpu_seconds(process.pid) for process in self._processes)
+
+    def memory_mb(self) -> float:
+        return sum(resident_mb(process.pid) for process in self._processes)
+
+    async def close(self) -> None:
+        for process in self._processes:
+            if process.returncode is None:
+                process.terminate()
+        for process in self._processes:
+            try:
+                async with asyncio.timeout(END_S):
+                    await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+
+async def bare_mb() -> float:
+    """Memory of a router process that has loaded its modules and built nothing."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", BARE, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE
+    )
+    assert process.stdout is not None and process.stdin is not None
+    try:
+        await process.stdout.readline()
+        return resident_mb(process.pid)
+    finally:
+        process.stdin.close()
+        process.terminate()
+        await process.wait()
+
+
+async def measure(plan: Calibration, routers: int, run: int, kind: Kind) -> Cost:
+    """One run of one kind: the cost of each of so many routers."""
+    tier = DirectTier()
+    fleet = Fleet(Topology(generate(routers, plan.seed)), Size(kind.workers(routers), plan.caches), tier)
+    real: RealRouters | None = None
+    player = Player(fleet, lambda: None, lambda: None)
+    with tempfile.TemporaryDirectory(prefix="calibrate-") as folder:
+        try:
+            await fleet.open()
+            if kind is not Kind.REAL:
+                await fleet.start_routers(list(fleet.places))
+            else:
+                real = RealRouters(fleet, tier, routers, Path(folder))
+                await real.start()
+            await asyncio.sleep(REST_S)
+
+            def cpu_s() -> float:
+                return real.cpu_s() if real is not None else sum(w.cpu_s() for w in fleet.workers)
+
+            first_cpu_s, first_bytes, begin = cpu_s(), await fleet.stream_bytes(), time.monotonic()
+            due = arrivals(Rates(restarts_per_day=0.0), plan.seconds, plan.seed + run)
+            await player.play(due, plan.seconds)
+            spent_s, last_bytes = cpu_s() - first_cpu_s, await fleet.stream_bytes()
+            took_s = time.monotonic() - begin
+            if real is not None:
+                mb = real.memory_mb() / routers - await bare_mb()
+            else:
+                mb = fleet.mb_per_router or 0.0
+            known = first_bytes is not None and last_bytes is not None
+            carried = ((last_bytes or 0) - (first_bytes or 0)) / took_s / routers if known else None
+            return Cost(100 * spent_s / took_s / routers, carried, mb)
+        finally:
+            player.close()
+            if real is not None:
+                await real.close()
+            await fleet.close()
+
+
+def compared(routers: int, costs: Mapping[Kind, Sequence[Cost]]) -> dict[str, Any]:
+    """A row: of each figure the mean of every kind, and for both kinds of hollow routers the ratio of the
+    means to real ones, with its lowest and highest over the turns."""
+    row: dict[str, Any] = {"routers": routers, "runs": len(costs[Kind.REAL])}
+    for figure in FIGURES:
+        by = {kind: [getattr(cost, figure) for cost in found] for kind, found in costs.items()}
+        for kind, values in by.items():
+            row[f"{figure}_{kind.value}"] = _mean(values)
+        for kind in (Kind.TOGETHER, Kind.APART):
+            row |= _ratios(f"{figure}_{kind.value}_ratio", by[kind], by[Kind.REAL])
+    return row
+
+
+def _mean(values: Sequence[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return round(statistics.fmean(known), 4) if known else None
+
+
+def _ratios(name: str, hollow: Sequence[float | None], real: Sequence[float | None]) -> dict[str, Any]:
+    pairs = [(h, r) for h, r in zip(hollow, real, strict=True) if h is not None and r is not None and r > 0]
+    if not pairs:
+        return {name: None, f"{name}_low": None, f"{name}_high": None}
+    ratios = [h / r for h, r in pairs]
+    mean = statistics.fmean(h for h, _ in pairs) / statistics.fmean(r for _, r in pairs)
+    return {name: round(mean, 3), f"{name}_low": round(min(ratios), 3), f"{name}_high": round(max(ratios), 3)}
+
+
+async def calibrate(plan: Calibration, tell: Callable[[str], None] = lambda line: None) -> dict[str, Any]:
+    """All sizes, the kinds by turns: one row a size, every single cost, and what differs by over a fifth."""
+    rows, costs, differ = [], [], []
+    for routers in plan.sizes:
+        found: dict[Kind, list[Cost]] = {kind: [] for kind in Kind}
+        for run in range(plan.runs):
+            for kind in Kind:
+                tell(f"{routers} routers, run {run + 1} of {plan.runs}, {kind.value}")
+                cost = await measure(plan, routers, run, kind)
+                found[kind].append(cost)
+                costs.append({"routers": routers, "run": run, "kind": kind.value} | asdict(cost))
+        rows.append(row := compared(routers, found))
+        for name, ratio in row.items():
+            if name.endswith("_ratio") and ratio is not None and abs(ratio - 1) > ALIKE:
+                differ.append(f"{name} at {routers}: {ratio}")
+    return {
+        "seconds": plan.seconds, "caches": plan.caches, "memory": "increment of resident memory a router",
+        "rows": rows, "costs": costs, "differ_by_over_a_fifth": differ,
+    }  # fmt: skip
--- /dev/null
+++ b/magpieshift/lab/scale/changelog.py
@@ -0,0 +1,229 @@
+"""The change log of a run, as a process of its own: events by server-sent events to many watches.
+
+Each event is encoded once. A watch that does not read holds up only itself: nothing is queued for it beyond
+its transport's buffer, and it is told the rest from the log once it reads again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import time
+from typing import Any
+
+from magpieshift.lab.scale import child
+from magpieshift.lab.scale.installation import CacheList
+from magpieshift.lab.scale.messages import (
+    AskHead,
+    AskLog,
+    GoAway,
+    Head,
+    LogReport,
+    Message,
+    Ready,
+    StartLog,
+    TellListChange,
+    TellPurges,
+)
+from magpieshift.lab.scale.tally import object_of
+
+HEARTBEAT_S = 1.0
+HEARTBEAT = b": alive\n\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+LAST_EVENT_ID = re.compile(rb"^last-event-id:\s*(\d+)\s*$", re.I | re.M)
+MOST_EVENTS_A_WRITE = 4096  # so that a watch far behind does not take the loop for long
+LONGEST_HEAD = 8192  # bytes of a request
+
+
+class Watch(asyncio.Protocol):
+    """One connection of a router."""
+
+    def __init__(self, changes: ChangeLogServer) -> None:
+        self._changes = changes
+        self._head = b""
+        self._transport: asyncio.Transport | None = None
+        self._may_write = False
+        self._next = 0  # of the events, from 0
+        self.bytes_written = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._changes.watches.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._changes.watches.discard(self)
+        self._changes.left(self)
+        self._may_write = False
+
+    def data_received(self, data: bytes) -> None:
+        if self._may_write or self._transport is None:
+            return
+        self._head += data
+        if b"\r\n\r\n" not in self._head:
+            if len(self._head) > LONGEST_HEAD:
+                self.abort()
+            return
+        match = LAST_EVENT_ID.search(self._head.replace(b"\r\n", b"\n"))
+        self._next = int(match[1]) if match else 0
+        self._may_write = True
+        self._write(ANSWER + HEARTBEAT)
+        self.catch_up()
+
+    def pause_writing(self) -> None:
+        self._may_write = False
+
+    def resume_writing(self) -> None:
+        self._may_write = True
+        self.catch_up()
+
+    def catch_up(self) -> None:
+        """Write what this watch has not had, as long as it reads."""
+        events = self._changes.events
+        while self._may_write and self._next < len(events):
+            part = events[self._next : self._next + MOST_EVENTS_A_WRITE]
+            self._next += len(part)
+            self._write(b"".join(part))
+
+    def beat(self) -> None:
+        """Write a comment, which proves that the log is alive."""
+        if self._may_write:
+            self._write(HEARTBEAT)
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self.bytes_written += len(data)
+        self._transport.write(data)
+
+
+class ChangeLogServer:
+    """Owner of the listener and of all watches."""
+
+    def __init__(self, caches: int) -> None:
+        self.events: list[bytes] = []
+        self.watches: set[Watch] = set()
+        self.accepted: list[float] = []  # when each purge was, by the monotonic clock
+        self.port = 0
+        self._list = CacheList(caches)
+        self._server: asyncio.Server | None = None
+        self._beating: asyncio.Task[None] | None = None
+        self._returning: asyncio.Task[None] | None = None
+        self._due = False
+        self._bytes_of_those_gone = 0
+        self._tell(self._list.whole())
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 picks a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Watch(self), "127.0.0.1", port, backlog=4096, reuse_address=True
+        )
+        self.port = int(self._server.sockets[0].getsockname()[1])
+        if self._beating is None:
+            self._beating = asyncio.ensure_future(self._beat())
+
+    def stop(self) -> None:
+        """Stop listening, and reset all watches."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for watch in list(self.watches):
+            watch.abort()
+
+    def close(self) -> None:
+        """Give everything back."""
+        self.stop()
+        for task in (self._beating, self._returning):
+            if task is not None:
+                task.cancel()
+
+    def go_away(self, seconds: float) -> None:
+        """Be gone for so long, and come back at the same port; events are accepted meanwhile."""
+        self.stop()
+        self._returning = asyncio.ensure_future(self._return_after(seconds))
+
+    async def _return_after(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self.start(self.port)
+
+    def purge(self, count: int, made_over_s: float) -> None:
+        """Accept purges of new objects, made evenly over the time up to now."""
+        now_s, now_ms = time.monotonic(), time.time() * 1000
+        for number in range(count):
+            index = len(self.accepted)
+            made_ms = int(now_ms - 1000 * made_over_s * (count - 1 - number) / max(1, count - 1))
+            self.accepted.append(now_s)
+            self._tell({"invalidate": {"object": object_of(index), "time": made_ms}})
+
+    def change_list(self, place: int) -> None:
+        self._tell(self._list.change(place))
+
+    def head(self) -> Head:
+        event = json.dumps({"seq": len(self.events)} | self._list.whole())
+        return Head(sequence=len(self.events), purges=len(self.accepted), list_event=event)
+
+    def report(self) -> LogReport:
+        written = [watch.bytes_written for watch in self.watches]
+        return LogReport(
+            accepted=self.accepted, bytes_written=sum(written) + self._bytes_of_those_gone,
+            watches=len(written), most_bytes_a_watch=max(written, default=0),
+        )  # fmt: skip
+
+    def left(self, watch: Watch) -> None:
+        self._bytes_of_those_gone += watch.bytes_written
+
+    def _tell(self, event: dict[str, Any]) -> None:
+        seq = len(self.events) + 1
+        text = json.dumps({"seq": seq} | event, separators=(",", ":"))
+        self.events.append(f"id: {seq}\ndata: {text}\n\n".encode())
+        if not self._due and self.watches:
+            self._due = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._due = False
+        for watch in list(self.watches):
+            watch.catch_up()
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for watch in list(self.watches):
+                watch.beat()
+
+
+async def run() -> None:
+    """The process: a change log that does what it is told."""
+    server: ChangeLogServer | None = None
+
+    async def handle(message: Message) -> Message | None:
+        nonlocal server
+        if isinstance(message, StartLog):
+            server = ChangeLogServer(message.caches)
+            await server.start()
+            return Ready(ports={"log": server.port})
+        if server is None:
+            raise RuntimeError("the change log has not been started")
+        match message:
+            case TellPurges(count=count, made_over_s=made_over_s):
+                server.purge(count, made_over_s)
+            case TellListChange(place=place):
+                server.change_list(place)
+            case GoAway(seconds=seconds):
+                server.go_away(seconds)
+            case AskHead():
+                return server.head()
+            case AskLog():
+                return server.report()
+            case other:
+                raise RuntimeError(f"a change log knows no {other.kind!r}")
+        return None
+
+    await child.serve(handle)
+    if server is not None:
+        server.close()
--- /dev/null
+++ b/magpieshift/lab/scale/controller.py
@@ -0,0 +1,41 @@
+"""The control service of a run, as a process of its own: the project's own service, told what to publish."""
+
+from __future__ import annotations
+
+import time
+
+from magpieshift.control.publisher import Published
+from magpieshift.control.service import ControlService
+from magpieshift.lab.scale import child
+from magpieshift.lab.scale.messages import (
+    AskFollowers,
+    Count,
+    Message,
+    Publish,
+    PublishedAt,
+    Ready,
+    StartControl,
+)
+
+
+async def run() -> None:
+    """The process: a control service that publishes what it is told."""
+    service = ControlService()
+
+    async def handle(message: Message) -> Message | None:
+        match message:
+            case StartControl(port=port):
+                await service.start(f"127.0.0.1:{port}")
+                return Ready(ports={"control": service.port})
+            case Publish(number=number, text=text):
+                at_s = time.monotonic()
+                service.publish(Published.of(number, text))
+                return PublishedAt(at_s=at_s)
+            case AskFollowers():
+                return Count(count=sum(bool(stream.subscriber.router) for stream in service.streams))
+            case other:
+                raise RuntimeError(f"a control service knows no {other.kind!r}")
+
+    await child.serve(handle)
+    if service.port:
+        await service.stop()
--- /dev/null
+++ b/magpieshift/lab/scale/fleet.py
@@ -0,0 +1,206 @@
+"""The processes of a run, and the routers in them: who lives, where, and by which network path."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from magpieshift.control import sexp
+from magpieshift.lab.scale import messages as m
+from magpieshift.lab.scale.installation import base_settings, version_text
+from magpieshift.lab.scale.network import port_name
+from magpieshift.lab.scale.processes import Child
+from magpieshift.lab.scale.result import Published
+from magpieshift.lab.scale.sockets import Counter
+from magpieshift.lab.scale.tier import LOG, Tier
+from magpieshift.lab.scale.topology import Place, Topology
+
+MOST_NETWORKS, ROUTERS_A_NETWORK = 3, 60
+EVENTS_OF_A_CACHE = 3  # of the list: it drains, goes, and serves again
+
+
+@dataclass(frozen=True)
+class Size:
+    """How many processes of hollow routers and how many caches a fleet has."""
+
+    workers: int
+    caches: int
+    drop_every: int = 0  # a planted fault, for tests
+
+
+class Fleet:
+    """Owner of all processes of a run."""
+
+    def __init__(self, topology: Topology, size: Size, tier: Tier) -> None:
+        self.topology, self._size, self.tier = topology, size, tier
+        self.places: Mapping[str, Place] = {place.name: place for place in topology.places}
+        self.paths: dict[str, str] = {place.name: place.zone for place in topology.places}
+        self.live: set[str] = set()
+        self.workers: list[Child] = []
+        self.networks: list[Child] = []
+        self._network_of: dict[str, Child] = {}  # by path; the others go straight to control
+        self.published: list[Published] = []
+        self.purges = 0
+        self.list_changes = 0
+        self._log: Child | None = None
+        self._publishing = asyncio.Lock()  # one version after the other
+        self.settings: dict[str, Any] = {}
+        self._counter: Counter | None = None
+        self._first_mb = 0.0
+
+    # --- beginning and end
+
+    async def open(self, networked: Collection[str] = ()) -> None:
+        """Start all processes, without a router; the paths that are named lead through a network."""
+        self._log = await Child.start("change log", "log", m.StartLog(caches=self._size.caches))
+        self.settings = base_settings(len(self.places), self.log.ports[LOG], self.topology.zone_sizes())
+        await self.tier.open(self.log)
+        await self._start_networks(sorted(networked))
+        await asyncio.gather(self.tier.join(self.reach), self._start_workers())
+        self._counter = Counter(self.tier.serving) if Counter.available() else None
+
+    async def _start_networks(self, paths: Sequence[str]) -> None:
+        """Share the paths out among as many processes as their routers need."""
+        routers = sum(path in paths for path in self.paths.values())
+        count = min(MOST_NETWORKS, len(paths), 1 + routers // ROUTERS_A_NETWORK)
+        for number in range(count):
+            part = list(paths[number::count])
+            order = m.StartNetwork(targets=dict(self.tier.targets), paths=part)
+            self.networks.append(await Child.start(f"network {number}", "network", order))
+            self._network_of |= dict.fromkeys(part, self.networks[-1])
+
+    async def _start_workers(self) -> None:
+        first = m.StartWorker(
+            caches=self._size.caches, settings=sexp.write(self.settings), drop_every=self._size.drop_every
+        )
+        starting = (Child.start(f"worker {i}", "worker", first) for i in range(self._size.workers))
+        self.workers = list(await asyncio.gather(*starting))
+        self._first_mb = sum(worker.memory_mb() for worker in self.workers)
+
+    async def close(self) -> None:
+        """End all processes."""
+        every = [*self.workers, *self.networks, self._log]
+        await asyncio.gather(*(child.end() for child in every if child is not None), self.tier.close())
+
+    @property
+    def log(self) -> Child:
+        assert self._log is not None
+        return self._log
+
+    @property
+    def processes(self) -> int:
+        """How many there are, stand-ins included."""
+        return len(self.workers) + len(self.networks) + 1 + self.tier.processes
+
+    # --- routers
+
+    def _by_worker(self, names: Iterable[str]) -> list[tuple[Child, list[str]]]:
+        numbers = {name: number for number, name in enumerate(self.places)}
+        chosen = sorted(names, key=numbers.__getitem__)
+        count = len(self.workers)
+        parts = ([name for name in chosen if numbers[name] % count == i] for i in range(count))
+        return [(worker, part) for worker, part in zip(self.workers, parts, strict=True) if part]
+
+    def reach(self, path: str, target: str) -> int:
+        """The port at which those on a path reach a target of the tier."""
+        if (network := self._network_of.get(path)) is not None:
+            return network.ports[port_name(path, target)]
+        return self.tier.targets[target]
+
+    def _placed(self, name: str) -> m.Place:
+        return self.tier.placed(self.places[name], self.paths[name], self.reach)
+
+    async def start_routers(self, names: Collection[str]) -> None:
+        """Start these, with what the log has told by now; returns once they are connected."""
+        head = await self.log.ask(m.AskHead(), m.Head)
+        version = self.published[-1].number if self.published else 0
+        orders = [
+            (worker, m.StartRouters(places=[*map(self._placed, part)], head=head, version=version))
+            for worker, part in self._by_worker(names)
+        ]
+        await asyncio.gather(*(worker.ask(order, m.Done) for worker, order in orders))
+        self.live |= set(names)
+
+    async def crash_routers(self, names: Collection[str]) -> None:
+        """These are gone, all at once."""
+        self.live -= set(names)
+        orders = [(worker, m.CrashRouters(names=part)) for worker, part in self._by_worker(names)]
+        await asyncio.gather(*(worker.ask(order, m.Done) for worker, order in orders))
+
+    async def all_follow(self) -> bool:
+        """Whether all live routers hear of versions."""
+        return await self.tier.follow_all(len(self.live))
+
+    async def behind(self, names: Sequence[str] = ()) -> int:
+        """How many live routers (of these) lack a purge or the newest version."""
+        newest = self.published[-1].number if self.published else 0
+        asked = m.AskBehind(purges=self.purges, version=newest, names=list(names))
+        counts = await asyncio.gather(*(worker.ask(asked, m.Count) for worker in self.workers))
+        return sum(answer.count for answer in counts)
+
+    # --- the load
+
+    async def purge(self, count: int, made_over_s: float = 0.0) -> None:
+        """Have the change log accept so many purges."""
+        if count:
+            self.purges += count
+            await self.log.tell(m.TellPurges(count=count, made_over_s=made_over_s))
+
+    async def change_list(self) -> None:
+        """A cache goes on in its life: it drains, goes, or serves again."""
+        place = self.list_changes // EVENTS_OF_A_CACHE
+        self.list_changes += 1
+        await self.log.tell(m.TellListChange(place=place))
+
+    async def publish(self, reachable: frozenset[str] | None) -> None:
+        """Publish the next version, once control is there."""
+        async with self._publishing:
+            number = len(self.published) + 1
+            at_s = await self.tier.publish(number, version_text(self.settings, number))
+            self.published.append(Published(number, at_s, reachable))
+
+    # --- the network
+
+    async def put_fault(self, fault: m.PutFault) -> None:
+        """Put a fault on paths that lead through a network."""
+        await asyncio.gather(*(network.ask(fault, m.Done) for network in self.networks))
+
+    async def heal_fault(self, why: str) -> None:
+        await asyncio.gather(*(network.ask(m.HealFault(why=why), m.Done) for network in self.networks))
+
+    # --- what it costs, and what was seen
+
+    def control_cpu_s(self) -> dict[str, float]:
+        """Processor time of each process of control so far."""
+        return {"change log": self.log.cpu_s()} | self.tier.cpu_s()
+
+    def network_cpu_s(self) -> float:
+        """Processor time of the networks so far."""
+        return sum(network.cpu_s() for network in self.networks)
+
+    async def stream_bytes(self) -> int | None:
+        """Payload of all streams between routers and control so far."""
+        return await self._counter.look() if self._counter is not None else None
+
+    def counter_of(self, paths: Collection[str]) -> Counter | None:
+        """A counter of the streams of some paths alone; None where that cannot be had."""
+        if self._counter is None or not set(paths) <= set(self._network_of):
+            return None
+        return Counter([self.reach(path, target) for path in paths for target in self.tier.targets])
+
+    @property
+    def mb_per_router(self) -> float | None:
+        """What the routers' processes have grown by since they were ready, for each live router."""
+        if not self.live:
+            return None
+        grown_mb = sum(worker.memory_mb() for worker in self.workers) - self._first_mb
+        return round(grown_mb / len(self.live), 3)
+
+    async def log_report(self) -> m.LogReport:
+        return await self.log.ask(m.AskLog(), m.LogReport)
+
+    async def worker_reports(self) -> list[m.WorkerReport]:
+        asked = m.AskWorker(purges=self.purges)
+        return list(await asyncio.gather(*(w.ask(asked, m.WorkerReport) for w in self.workers)))
--- /dev/null
+++ b/magpieshift/lab/scale/hollow.py
@@ -0,0 +1,208 @@
+"""A hollow router: the control side of a router, whole and real, without a front and without a back.
+
+It has the change log's reader, the engine with its decision module, and versioned configuration with its
+transaction over those parts. Clients and stores are what it lacks: its back carries nothing, and no client
+comes. Many of them live in one process, each with its own connections.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+from magpieshift.clock import LoopClock
+from magpieshift.config import Address, Document
+from magpieshift.control.client import ControlClient
+from magpieshift.control.content import Overrides
+from magpieshift.control.keeper import Keeper, now_us
+from magpieshift.control.ledger import Answer, Ledger, Record, State
+from magpieshift.control.schema import Loaded
+from magpieshift.core.engine import Engine, Exchange
+from magpieshift.core.model import Member, Order, Result
+from magpieshift.core.numbers import aligned
+from magpieshift.feed.changes import ChangeLog
+from magpieshift.feed.client import FeedClient
+from magpieshift.transaction import Part, Prepared, Running, prepare
+from molecleat import interface as api
+from molecleat.control import Router
+from molecleat.heed import Act
+
+Purged = Callable[[Sequence[api.Purged]], None]
+"""Told the purges of objects that the module has taken in, in one call of it."""
+
+
+@dataclass(frozen=True)
+class At(Overrides):
+    """Where one router reads the change log, whatever address a version names."""
+
+    changelog: Address | None = None
+
+    def on(self, document: Document) -> Document:
+        found = super().on(document)
+        return found if self.changelog is None else replace(found, changelog=self.changelog)
+
+
+class Feed(Protocol):
+    """What brings purges, lists and versions to a hollow router."""
+
+    def start(self) -> None:
+        """Begin to feed it."""
+        ...
+
+    @property
+    def connected(self) -> bool:
+        """Whether it has had what there was to tell at its start."""
+        ...
+
+    async def crash(self) -> None:
+        """Be gone at once, with all connections."""
+        ...
+
+
+class _Unreached:
+    """An order that was never carried anywhere."""
+
+    def give_up(self) -> bool:
+        return False
+
+
+class EmptyBack:
+    """A back that carries nothing: orders fail to connect, probes answer well."""
+
+    def start(self, order: Order, done: Callable[[Result], None]) -> Exchange:
+        LoopClock().soon(lambda: done(Result(api.Outcome.CONNECT_FAILED)))
+        return _Unreached()
+
+    def probe(self, member: Member, done: Callable[[Result], None]) -> None:
+        LoopClock().soon(lambda: done(Result(api.Outcome.OK)))
+
+    def close_idle(self, member: Member) -> None:
+        """There is no connection."""
+
+
+class PurgeWatch:
+    """Stands between engine and module, and tells of purges once the module has taken them in."""
+
+    def __init__(self, told: Purged, drop_every: int = 0) -> None:
+        self._told, self._drop_every, self._seen = told, drop_every, 0
+
+    def handle(self, module: Router, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
+        if self._drop_every:
+            events = [event for event in events if not self._dropped(event)]
+        actions = module.handle(now_us, events)
+        if purges := [event for event in events if isinstance(event, api.Purged) and event.key]:
+            self._told(purges)
+        return actions
+
+    def _dropped(self, event: api.Event) -> bool:
+        """Whether the fault that is planted for tests swallows this event."""
+        if not isinstance(event, api.Purged):
+            return False
+        self._seen += 1
+        return self._seen % self._drop_every == 0
+
+    def name(self, number: int, ident: str) -> None: ...
+
+    def retuned(self, settings: api.Settings, fresh: Collection[int]) -> None: ...
+
+    def heeded(self, now_us: int, acts: Sequence[Act]) -> None: ...
+
+
+class HollowRouter:
+    """Owner of one router's control side."""
+
+    def __init__(self, name: str, loaded: Loaded, overrides: Overrides, seed: int, tap: PurgeWatch) -> None:
+        self.name, self.seed = name, seed
+        self.document = overrides.on(loaded.document)
+        self.engine = Engine(
+            self.document.settings, seed, LoopClock(), EmptyBack(), names=self.document.names
+        )
+        self.engine.tap = tap
+        first = Record(0, loaded.digest, "start", State.IN_FORCE, now_us())
+        self.keeper = Keeper(self, Ledger(first), loaded.data, overrides=overrides)
+        self.changes = ChangeLog(self.document.names, self)
+        self.change_source = FeedClient(self.document.changelog, self.changes, seed)
+        self._feed: Feed | None = None
+        self._crashed = False
+
+    # --- the listener of the change log
+
+    def list_changed(self, kind: api.ListKind, version: int, members: Sequence[Member]) -> None:
+        self.engine.list_changed(kind, version, members)
+
+    def purged(self, key: str, group: int, made_us: int) -> None:
+        if not self._crashed:
+            self.engine.purged(key, group, made_us)
+
+    # --- the host of versions
+
+    @property
+    def parts(self) -> list[Part]:
+        """What takes settings, the engine last, as in a router."""
+        return [self.change_source, self.engine]
+
+    def running(self) -> Mapping[str, Running]:
+        return {part.part: dict(part.running()) for part in self.parts}
+
+    async def prepare(self, document: Document) -> Prepared:
+        return await prepare(self.parts, self.document, aligned(self.document, document))
+
+    def commit(self, prepared: Prepared, version: int) -> None:
+        self.document = prepared.document
+        prepared.commit()
+
+    # --- beginning and end
+
+    @property
+    def connected(self) -> bool:
+        return self._feed is not None and self._feed.connected
+
+    def start(self, feed: Feed, known: Mapping[str, Any]) -> None:
+        """Take up versions, and be fed. ``known`` is what the change log had told before, as a configuration
+        holds it."""
+        self._feed = feed
+        self.changes.known(known)
+        self.engine.flush()
+        self.keeper.start()
+        feed.start()
+
+    async def crash(self) -> None:
+        """Be gone; connections are closed without a word."""
+        self._crashed = True
+        if self._feed is not None:
+            await self._feed.crash()
+        await self.keeper.stop()
+
+
+class DirectFeed:
+    """The change log and the control service, each by a connection of its own."""
+
+    def __init__(self, router: HollowRouter, control: Address, rand: random.Random) -> None:
+        self._log = router.change_source
+        host, port = control
+        boot = f"{router.seed:08x}"
+        self._control = ControlClient(f"{host}:{port}", router.keeper, router.name, boot, rand)
+
+    @property
+    def connected(self) -> bool:
+        return self._log.answered
+
+    def start(self) -> None:
+        self._log.start()
+        self._control.start()
+
+    async def crash(self) -> None:
+        self._log.stop()
+        await self._control.stop()
+
+
+def on_version(keeper: Keeper, told: Callable[[int], None]) -> None:
+    """Call ``told`` with the number of each version that comes into force."""
+
+    def heard(answer: Answer, apply_us: int, pause_us: int) -> None:
+        if answer.accepted:
+            told(answer.offer.number)
+
+    keeper.listeners.append(heard)
--- /dev/null
+++ b/magpieshift/lab/scale/memory.py
@@ -0,0 +1,41 @@
+"""Whether so many hollow routers fit: they may take half of the machine's memory."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from magpieshift.config import ConfigError
+
+SHARE = 0.5  # of the machine's memory
+PROCESS_MB = 90.0  # a process with its modules, before its first router
+ROUTER_MB = 0.9  # a hollow router with an empty list
+ROUTER_MB_PER_CACHE = 0.0035
+MOST_PROCESSES = 300
+
+
+def machine_mb(meminfo: str = "") -> float:
+    """The machine's memory by the text of ``/proc/meminfo``, read where it is not given."""
+    text = meminfo or Path("/proc/meminfo").read_text(encoding="ascii")
+    for line in text.splitlines():
+        name, _, value = line.partition(":")
+        if name == "MemTotal":
+            return int(value.split()[0]) / 1024
+    raise ConfigError("/proc/meminfo has no MemTotal")
+
+
+def needed_mb(routers: int, processes: int, caches: int) -> float:
+    """What a run takes, by the increments measured with ``lab scale calibrate``."""
+    return processes * PROCESS_MB + routers * (ROUTER_MB + caches * ROUTER_MB_PER_CACHE)
+
+
+def check(routers: int, processes: int, caches: int, of_mb: float = 0.0) -> None:
+    """``ConfigError`` where a run would take more than its share of the machine's memory."""
+    limit_mb = SHARE * (of_mb or machine_mb())
+    wanted_mb = needed_mb(routers, processes, caches)
+    if wanted_mb > limit_mb:
+        raise ConfigError(
+            f"--routers: found {routers}, which take {wanted_mb:.0f} MB; expected at most {limit_mb:.0f} MB, "
+            "half of the machine's memory"
+        )
+    if processes > MOST_PROCESSES:
+        raise ConfigError(f"processes: found {processes}, expected at most {MOST_PROCESSES}")
--- /dev/null
+++ b/magpieshift/lab/scale/network.py
@@ -0,0 +1,54 @@
+"""The network of a run, as a process of its own: streams between routers and control, path by path, with
+faults."""
+
+from __future__ import annotations
+
+from magpieshift.lab.proving.network import Network
+from magpieshift.lab.scale import child
+from magpieshift.lab.scale.messages import Done, HealFault, Message, PutFault, Ready, StartNetwork
+from magpieshift.lab.scale.streams import Passage
+
+CONTROL = "control"  # the other end of every path
+SEPARATOR = "/"
+
+
+def port_name(path: str, target: str) -> str:
+    """The name of the port at which routers on a path reach a target."""
+    return f"{path}{SEPARATOR}{target}"
+
+
+def put(links: Network, fault: PutFault) -> None:
+    """Put a fault on the paths that it names, in its direction."""
+    for path in fault.paths:
+        delay_ms = fault.delay_ms.get(path, 0.0)
+        ends = {"to-routers": (CONTROL, path), "from-routers": (path, CONTROL)}
+        chosen = ends.values() if fault.direction == "both" else [ends[fault.direction]]
+        for source, target in chosen:
+            links.put(fault.why, source, target, cut=fault.cut, kb_per_s=fault.kb_per_s, delay_ms=delay_ms)
+
+
+async def run() -> None:
+    """The process: passages with the faults that it is told."""
+    links, passages = Network(), list[Passage]()
+
+    async def handle(message: Message) -> Message | None:
+        match message:
+            case StartNetwork(targets=targets, paths=paths):
+                ports = {}
+                for path in paths:
+                    for name, port in targets.items():
+                        passages.append(Passage(links, path, CONTROL, port))
+                        ports[port_name(path, name)] = await passages[-1].start()
+                return Ready(ports=ports)
+            case PutFault():
+                put(links, message)
+                return Done()
+            case HealFault(why=why):
+                links.heal(why)
+                return Done()
+            case other:
+                raise RuntimeError(f"a network knows no {other.kind!r}")
+
+    await child.serve(handle)
+    for passage in passages:
+        passage.close()
--- /dev/null
+++ b/magpieshift/lab/scale/player.py
@@ -0,0 +1,53 @@
+"""Plays a schedule of arrivals on a fleet, in real time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from magpieshift.lab.scale.fleet import Fleet
+from magpieshift.lab.scale.load import Arrival, Kind
+
+
+class Player:
+    """Owner of what is under way for one load. ``reachable`` tells on which paths control can be heard,
+    ``restart`` restarts a router."""
+
+    def __init__(
+        self, fleet: Fleet, reachable: Callable[[], frozenset[str] | None], restart: Callable[[], None]
+    ) -> None:
+        self._fleet, self._reachable, self._restart = fleet, reachable, restart
+        self._publishing: list[asyncio.Task[None]] = []
+
+    async def play(self, due: Sequence[Arrival], seconds: float) -> None:
+        """Let everything arrive at its time; returns after so many seconds, when all is published."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        at = 0
+        while at < len(due):
+            await asyncio.sleep(due[at].at_s - (loop.time() - begin))
+            purges = 0
+            while at < len(due) and due[at].at_s <= loop.time() - begin:
+                if due[at].kind is Kind.PURGE:
+                    purges += 1
+                else:
+                    await self._one(due[at].kind)
+                at += 1
+            await self._fleet.purge(purges)
+        await asyncio.sleep(seconds - (loop.time() - begin))
+        await asyncio.gather(*self._publishing)
+
+    async def _one(self, kind: Kind) -> None:
+        match kind:
+            case Kind.VERSION:  # waits while the control service is away, and purges do not wait for that
+                publishing = self._fleet.publish(self._reachable())
+                self._publishing.append(asyncio.ensure_future(publishing))
+            case Kind.LIST_CHANGE:
+                await self._fleet.change_list()
+            case Kind.RESTART:
+                self._restart()
+
+    def close(self) -> None:
+        """Call off what is under way."""
+        for task in self._publishing:
+            task.cancel()
--- /dev/null
+++ b/magpieshift/lab/scale/result.py
@@ -0,0 +1,151 @@
+"""What a run found: the figures, and the rules that it holds them to. No I/O.
+
+A figure that the run could not measure is None, with a line that says why.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from magpieshift.lab.scale.tally import VOID
+
+PURGE_WITHIN_S = 9.7
+VERSION_WITHIN_S = 4.0
+MOST_NAMED = 5  # routers in a rule's line
+
+
+@dataclass
+class Result:
+    """The keys of the last line, and what tells how they were got."""
+
+    routers: int = 0
+    hollow: int = 0  # how many of them lived at the end
+    processes: int = 0
+    purges_per_s: float | None = None  # accepted by the change log while the load ran
+    versions_per_day: float | None = None
+    cpu_percent_per_router: float | None = None  # of a core, in the processes of hollow routers
+    mb_per_router: float | None = None  # increment of resident memory
+    bytes_per_router_s: float | None = None  # payload of all TCP streams to control, both directions
+    control_cpu_percent: float | None = None  # of a core, all processes of control together
+    purge_done_p50_s: float | None = None
+    purge_done_p99_s: float | None = None
+    purge_done_max_s: float | None = None
+    version_in_force_max_s: float | None = None
+    lost: int = 0
+    out_of_order: int = 0
+    rules_broken: list[str] = field(default_factory=list)
+    scenario: str = ""
+    feed: str = ""
+    seed: int = 0
+    seconds: float = 0.0
+    caches: int = 0
+    purges: int = 0
+    versions: int = 0
+    workers: int = 0
+    worker_busy_max_percent: float | None = None  # of a core, over two seconds: above 90, times are ours
+    control_cpu_percent_by: dict[str, float] = field(default_factory=dict)
+    network_cpu_percent: float | None = None
+    return_s: float | None = None  # from the end of a cut until all who were cut off had everything
+    return_bytes_per_router: float | None = None
+    load_average: float = 0.0  # of the machine, when the load began
+    notes: list[str] = field(default_factory=list)
+
+    def as_data(self) -> dict[str, Any]:
+        """The figures in JSON's types."""
+        return asdict(self)
+
+
+@dataclass(frozen=True)
+class Published:
+    """A version: when the control service took it in, and on which paths routers could hear of it."""
+
+    number: int
+    at_s: float
+    reachable: frozenset[str] | None = None  # None: on all
+
+
+def purge_times(
+    accepted: Sequence[float], applied: Sequence[Sequence[float]], missing: Iterable[int]
+) -> list[float]:
+    """Of each purge, the seconds from its acceptance until the last router of all processes had applied it;
+    infinite where some live router had not at the end, or none had."""
+    times = []
+    for index, at_s in enumerate(accepted):
+        latest = max((part[index] for part in applied if index < len(part)), default=VOID)
+        times.append(latest - at_s if latest != VOID else math.inf)
+    for index in missing:
+        times[index] = math.inf
+    return times
+
+
+def quantile(sorted_times: Sequence[float], share: float) -> float | None:
+    """The time within which this share of all are done; None where that one was not done at all."""
+    if not sorted_times:
+        return None
+    found = sorted_times[max(0, math.ceil(share * len(sorted_times)) - 1)]
+    return round(found, 4) if math.isfinite(found) else None
+
+
+def judge_purges(result: Result, times: Sequence[float]) -> None:
+    """Fill in the times of purges; one that was not done everywhere at the end has an infinite time."""
+    ordered = sorted(times)
+    not_done = sum(math.isinf(time) for time in ordered)
+    result.purge_done_p50_s = quantile(ordered, 0.5)
+    result.purge_done_p99_s = quantile(ordered, 0.99)
+    result.purge_done_max_s = quantile(ordered, 1.0)
+    if not_done:
+        result.notes.append(f"{not_done} purges were not done everywhere at the end: their times are unknown")
+    late = [time for time in ordered if time > PURGE_WITHIN_S]
+    if late:
+        worst = f"{max(late):.1f} s" if math.isfinite(max(late)) else "never"
+        result.rules_broken.append(
+            f"purge done everywhere within {PURGE_WITHIN_S} s: "
+            f"{len(late)} of {len(ordered)} were not (worst: {worst})"
+        )
+
+
+def judge_versions(
+    result: Result, published: Sequence[Published], in_force: Sequence[Mapping[str, Mapping[int, float]]]
+) -> None:
+    """Fill in the longest time in which a version was in force on every path where it could be heard of."""
+    worst, late = None, []
+    for version in published:
+        times = [
+            numbers[version.number] - version.at_s
+            for part in in_force
+            for path, numbers in part.items()
+            if version.number in numbers and (version.reachable is None or path in version.reachable)
+        ]
+        if times:
+            worst = max(times) if worst is None else max(worst, *times)
+            if max(times) > VERSION_WITHIN_S:
+                late.append(version.number)
+    result.version_in_force_max_s = round(worst, 4) if worst is not None else None
+    if worst is None:
+        result.notes.append("no version came into force: its time is unknown")
+    if late:
+        result.rules_broken.append(
+            f"version in force within {VERSION_WITHIN_S} s: {len(late)} of {len(published)} were not "
+            f"(worst {worst:.1f} s)"
+        )
+
+
+def judge_losses(result: Result, lost: Mapping[str, int], behind: Mapping[str, int], newest: int) -> None:
+    """Hold the run to: no purge skipped by a live router, none out of order, the newest version in force."""
+    result.lost = sum(lost.values())
+    if lost:
+        result.rules_broken.append(f"no purge lost: {result.lost} by {_named(lost)}")
+    if result.out_of_order:
+        result.rules_broken.append(f"purges applied in order: {result.out_of_order} were not")
+    late = {name: number for name, number in behind.items() if number < newest}
+    if late:
+        result.rules_broken.append(f"newest version in force at the end: not at {_named(late)}")
+
+
+def _named(routers: Mapping[str, int]) -> str:
+    names = sorted(routers)
+    more = f" and {len(names) - MOST_NAMED} more" if len(names) > MOST_NAMED else ""
+    return ", ".join(names[:MOST_NAMED]) + more
--- /dev/null
+++ b/magpieshift/lab/scale/saved.py
@@ -0,0 +1,43 @@
+"""Saved results: a run's figures with what is needed to play it again."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import platform
+import shlex
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[3]
+
+
+def _commit() -> str:
+    """The commit of the source tree, marked where files differ from it; empty where there is none."""
+    try:
+        described = subprocess.run(
+            ["git", "describe", "--always", "--dirty", "--abbrev=12"],
+            cwd=ROOT, capture_output=True, text=True, check=True,
+        )  # fmt: skip
+    except (OSError, subprocess.CalledProcessError):
+        return ""
+    return described.stdout.strip()
+
+
+def save_result(path: str, figures: Mapping[str, Any], seed: int) -> None:
+    """Write figures with the command line, commit, seed, date and machine; ``OSError`` if it cannot."""
+    command = shlex.join(["magpieshift", *sys.argv[1:]])
+    whole = {
+        "command": command, "commit": _commit(), "seed": seed,
+        "date": datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+        "python": platform.python_version(), "cores": _cores(), "figures": dict(figures),
+    }  # fmt: skip
+    Path(path).write_text(json.dumps(whole, indent=1) + "\n", encoding="utf-8")
+
+
+def _cores() -> int:
+    return os.cpu_count() or 0
--- /dev/null
+++ b/magpieshift/lab/scale/streams.py
@@ -0,0 +1,97 @@
+"""Streams through the network of a run: carried with a delay that does not bound their rate, held back where
+they are cut, slowed down where their reader is slow."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from magpieshift.lab.proving.network import Network
+
+CHUNK = 65_536
+CHUNKS_UNDER_WAY = 64  # of each direction; then the sender is held up
+LOOK_S = 0.02  # how soon a fault that was put or healed shows
+LOOPBACK = "127.0.0.1"
+
+
+class Passage:
+    """Owner of a listening port, and of all streams from it to a target. ``source`` and ``target`` are the
+    names of the ends in ``links``."""
+
+    def __init__(self, links: Network, source: str, target: str, to_port: int) -> None:
+        self._links, self._source, self._target, self._to_port = links, source, target, to_port
+        self._server: asyncio.Server | None = None
+        self._through: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> int:
+        """Listen; the port."""
+        self._server = await asyncio.start_server(self._accepted, LOOPBACK, 0, backlog=1024)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Stop listening, and end all streams."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._through:
+            task.cancel()
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._through.add(task)
+        try:
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await self._carry(reader, writer)
+        finally:
+            self._through.discard(task)
+            writer.transport.abort()
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry both directions until either ends."""
+        await self._while_cut(self._source, self._target)
+        theirs, ours = await asyncio.open_connection(LOOPBACK, self._to_port)
+        ends = [
+            asyncio.ensure_future(self._one_way(self._source, self._target, reader, ours)),
+            asyncio.ensure_future(self._one_way(self._target, self._source, theirs, writer)),
+        ]
+        try:
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for end in ends:
+                end.cancel()
+            await asyncio.gather(*ends, return_exceptions=True)
+            ours.transport.abort()
+
+    async def _one_way(
+        self, source: str, target: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        under_way: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(CHUNKS_UNDER_WAY)
+        writing = asyncio.ensure_future(self._write(source, target, under_way, writer))
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(CHUNK):
+                delay_ms = sum(fault.delay_ms for fault in self._links.on(source, target))
+                await under_way.put((loop.time() + delay_ms / 1000, data))
+        finally:
+            writing.cancel()
+
+    async def _write(
+        self, source: str, target: str, under_way: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+    ) -> None:  # fmt: skip
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            while True:
+                due, data = await under_way.get()
+                if (left_s := due - loop.time()) > 0:
+                    await asyncio.sleep(left_s)
+                await self._while_cut(source, target)
+                for fault in self._links.on(source, target):
+                    if fault.kb_per_s:
+                        await asyncio.sleep(len(data) / 1000 / fault.kb_per_s)
+                writer.write(data)
+                await writer.drain()
+
+    async def _while_cut(self, source: str, target: str) -> None:
+        while any(fault.cut for fault in self._links.on(source, target)):
+            await asyncio.sleep(LOOK_S)
--- /dev/null
+++ b/magpieshift/lab/scale/tally.py
@@ -0,0 +1,114 @@
+"""What hollow routers have applied, without I/O: purges by index and versions by number.
+
+A purge carries its index (from 0, in the order in which the change log accepted purges) as its object, so
+that it is known again whichever way it came. Times are seconds of the machine's monotonic clock, which all
+processes share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+FORGOTTEN_S = (
+    12.0  # a purge so old matters no more: twice the settings' ``purges done-ms`` (molecleat.purges)
+)
+VOID = 0.0  # in place of a time: not applied by anybody
+
+
+def object_of(index: int) -> str:
+    """The object that the purge with this index names."""
+    return f"{index + 1:016x}"
+
+
+def index_of(object_number: int) -> int:
+    """The index of the purge that names the object with this number."""
+    return object_number - 1
+
+
+@dataclass
+class Shared:
+    """What all routers of one process come to: when the last of them had applied each purge and version."""
+
+    purges: list[float] = field(default_factory=list)  # by index
+    versions: dict[str, dict[int, float]] = field(default_factory=dict)  # by path, then by number
+
+    def purged(self, index: int, now_s: float) -> None:
+        """A router has applied a purge; times never go back."""
+        if index >= len(self.purges):
+            self.purges.extend([VOID] * (index + 1 - len(self.purges)))
+        self.purges[index] = now_s
+
+    def version(self, path: str, number: int, now_s: float) -> None:
+        """A router on this network path has a version in force."""
+        self.versions.setdefault(path, {})[number] = now_s
+
+
+class Applied:
+    """What one router has applied since its start."""
+
+    def __init__(self, shared: Shared, path: str, first_purge: int, version: int) -> None:
+        """It owes purges from ``first_purge`` on, and has all versions up to ``version``."""
+        self._shared, self.path = shared, path
+        self.next_purge = first_purge  # all below are applied
+        self._beyond: set[int] = set()  # applied, with some below missing
+        self._highest = first_purge - 1
+        self.version = version
+        self.out_of_order = 0
+        self.forgotten = 0  # purges that it never had, and that mattered no more when it had the next ones
+
+    def purges(self, ages: Mapping[int, float], now_s: float) -> None:
+        """Purges that were applied in one call, and the age in seconds of each; their order among themselves
+        cannot be seen by any request. One that was applied before counts for nothing."""
+        for index in sorted(ages):
+            if index > self.next_purge and ages[index] >= FORGOTTEN_S:
+                self._forget_below(index)
+            if index == self.next_purge:
+                self.next_purge += 1
+                if self._beyond:
+                    self._close_up()
+            elif index > self.next_purge and index not in self._beyond:
+                self._beyond.add(index)
+            else:
+                continue
+            if index < self._highest:
+                self.out_of_order += 1
+            self._highest = max(index, self._highest)
+            self._shared.purged(index, now_s)
+
+    def _forget_below(self, index: int) -> None:
+        """Those before a purge that is as old as this are older still: they matter no more, and a snapshot
+        leaves them out."""
+        self.forgotten += sum(each not in self._beyond for each in range(self.next_purge, index))
+        self._beyond = {each for each in self._beyond if each >= index}
+        self.next_purge = index
+
+    def _close_up(self) -> None:
+        while self.next_purge in self._beyond:
+            self._beyond.remove(self.next_purge)
+            self.next_purge += 1
+
+    def lost(self, accepted: int) -> int:
+        """How many of the purges accepted so far it owes and has not applied."""
+        return max(0, accepted - self.next_purge - len(self._beyond))
+
+    def mark_missing(self, marks: bytearray) -> None:
+        """Set the marks, one for each purge accepted so far, of those it owes and has not applied."""
+        for index in range(self.next_purge, len(marks)):
+            if index not in self._beyond:
+                marks[index] = 1
+
+    def in_force(self, number: int, now_s: float) -> None:
+        """A version has come into force, and with it all that it replaces."""
+        for passed in range(self.version + 1, number + 1):
+            self._shared.version(self.path, passed, now_s)
+        self.version = max(self.version, number)
+
+
+def latest(parts: Iterable[Mapping[int, float]]) -> dict[int, float]:
+    """For each number the latest time of all parts."""
+    found: dict[int, float] = {}
+    for part in parts:
+        for number, at in part.items():
+            found[number] = max(at, found.get(number, VOID))
+    return found
--- /dev/null
+++ b/magpieshift/lab/scale/tier.py
@@ -0,0 +1,158 @@
+"""What stands between the change log and the routers of a run, and how versions come to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from magpieshift.lab.scale import messages as m
+from magpieshift.lab.scale.processes import Child
+from magpieshift.lab.scale.topology import Place
+
+LOG, CONTROL = "log", "control"
+
+Reach = Callable[[str, str], int]
+"""The port at which those on a path reach a target by its name, through a network or straight."""
+
+
+class Tier(Protocol):
+    """Owner of the processes of control, except the change log."""
+
+    async def open(self, log: Child) -> None:
+        """Start what stands next to the change log, and know all ports."""
+        ...
+
+    async def join(self, reach: Reach) -> None:
+        """Start the rest, once the network is there."""
+        ...
+
+    async def close(self) -> None:
+        """End all processes."""
+        ...
+
+    @property
+    def targets(self) -> Mapping[str, int]:
+        """The ports that networks carry streams to, by name."""
+        ...
+
+    @property
+    def serving(self) -> list[int]:
+        """The ports at which routers are served."""
+        ...
+
+    @property
+    def processes(self) -> int: ...
+
+    def placed(self, place: Place, path: str, reach: Reach) -> m.Place:
+        """Where a router finds what feeds it."""
+        ...
+
+    async def publish(self, number: int, text: str) -> float:
+        """Publish a version, once that can be; when it was taken in, by the monotonic clock."""
+        ...
+
+    async def follow_all(self, routers: int) -> bool:
+        """Whether so many routers hear of versions."""
+        ...
+
+    async def lose(self, machines: int, seconds: float) -> None:
+        """So many machines are gone for so long."""
+        ...
+
+    async def lose_zone(self, zone: str) -> None:
+        """What stands in this zone is gone."""
+        ...
+
+    def cpu_s(self) -> dict[str, float]:
+        """Processor time so far, by process."""
+        ...
+
+
+class DirectTier:
+    """Nothing between: routers follow the change log itself, and one control service."""
+
+    def __init__(self) -> None:
+        self._log: Child | None = None
+        self._control: Child | None = None
+        self._turn = asyncio.Lock()  # held while the control service is away
+        self._gone_s = 0.0  # processor time of those that were killed
+        self._newest: m.Publish | None = None
+
+    async def open(self, log: Child) -> None:
+        self._log = log
+        self._control = await Child.start("control service", "control", m.StartControl())
+
+    async def join(self, reach: Reach) -> None:
+        """There is nothing more to start."""
+
+    async def close(self) -> None:
+        if self._control is not None:
+            await self._control.end()
+
+    @property
+    def control(self) -> Child:
+        assert self._control is not None
+        return self._control
+
+    @property
+    def log(self) -> Child:
+        assert self._log is not None
+        return self._log
+
+    @property
+    def targets(self) -> Mapping[str, int]:
+        return {LOG: self.log.ports[LOG], CONTROL: self.control.ports[CONTROL]}
+
+    @property
+    def serving(self) -> list[int]:
+        return list(self.targets.values())
+
+    @property
+    def processes(self) -> int:
+        return 1
+
+    def placed(self, place: Place, path: str, reach: Reach) -> m.Place:
+        return m.Place(
+            name=place.name, path=path, log_port=reach(path, LOG), control_port=reach(path, CONTROL)
+        )
+
+    async def publish(self, number: int, text: str) -> float:
+        async with self._turn:
+            self._newest = m.Publish(number=number, text=text)
+            return (await self.control.ask(self._newest, m.PublishedAt)).at_s
+
+    async def follow_all(self, routers: int) -> bool:
+        return await self.followers() >= routers
+
+    async def followers(self) -> int:
+        """How many routers are connected to the control service."""
+        return (await self.control.ask(m.AskFollowers(), m.Count)).count
+
+    async def lose(self, machines: int, seconds: float) -> None:
+        """The change log cannot be reached; with two machines the control service is killed besides."""
+        lost = [self._lose_log(seconds), self._lose_control(seconds)]
+        for beyond in lost[machines:]:
+            beyond.close()
+        await asyncio.gather(*lost[:machines])
+
+    async def _lose_log(self, seconds: float) -> None:
+        await self.log.tell(m.GoAway(seconds=seconds))
+        await asyncio.sleep(seconds)
+
+    async def _lose_control(self, seconds: float) -> None:
+        """Another service starts at its port, and knows the newest version alone."""
+        async with self._turn:
+            port = self.control.ports[CONTROL]
+            await self.control.kill()
+            self._gone_s += self.control.cpu_s()
+            await asyncio.sleep(seconds)
+            self._control = await Child.start("control service", "control", m.StartControl(port=port))
+            if self._newest is not None:
+                await self.control.ask(self._newest, m.PublishedAt)
+
+    async def lose_zone(self, zone: str) -> None:
+        """Nothing stands in a zone."""
+
+    def cpu_s(self) -> dict[str, float]:
+        return {"control service": self.control.cpu_s() + self._gone_s}
--- /dev/null
+++ b/tests/scale/test_runs.py
@@ -0,0 +1,119 @@
+"""Short real runs: processes, sockets, hollow routers, and what the command makes of them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from magpieshift.cli import main
+from magpieshift.lab.scale.load import Rates
+from magpieshift.lab.scale.result import Result
+from magpieshift.lab.scale.run import Plan, Run
+from magpieshift.lab.scale.scenario import SCENARIOS, Crash, RegionAway, Scenario, Scope
+
+KEYS = [
+    "routers", "hollow", "processes", "purges_per_s", "versions_per_day", "cpu_percent_per_router",
+    "mb_per_router", "bytes_per_router_s", "control_cpu_percent", "purge_done_p50_s", "purge_done_p99_s",
+    "purge_done_max_s", "version_in_force_max_s", "lost", "out_of_order", "rules_broken",
+]  # fmt: skip
+BRISK = Rates(versions_per_day=86_400.0, list_changes_per_day=86_400.0)  # one of each a second
+
+
+def play(scenario: Scenario, routers: int = 5, drop_every: int = 0, seconds: float = 2.0) -> Result:
+    plan = Plan(
+        scenario,
+        routers,
+        seconds=seconds,
+        caches=20,
+        rates=BRISK,
+        workers=1,
+        settle_s=2.0,
+        drop_every=drop_every,
+    )
+    return asyncio.run(Run(plan).play())
+
+
+def call(*args: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = main.run(["lab", "scale", *args])
+    return code, out.getvalue(), err.getvalue()
+
+
+class Runs(unittest.TestCase):
+    def test_every_purge_reaches_all_in_order_and_versions_come_into_force(self) -> None:
+        result = play(SCENARIOS["steady"])
+        self.assertEqual((result.rules_broken, result.lost, result.out_of_order), ([], 0, 0))
+        self.assertEqual((result.hollow, result.workers, result.processes), (5, 1, 3))
+        self.assertGreater(result.purges, 100)
+        self.assertGreater(result.versions, 0)
+        for figure in KEYS[3:13]:
+            self.assertIsNotNone(getattr(result, figure), figure)
+
+    def test_a_router_that_drops_a_purge_breaks_the_rule(self) -> None:
+        result = play(SCENARIOS["steady"], routers=2, drop_every=50)
+        self.assertGreater(result.lost, 0)
+        self.assertIsNone(result.purge_done_max_s)
+        self.assertTrue(any("no purge lost" in rule for rule in result.rules_broken))
+
+    def test_restarted_routers_owe_what_was_accepted_since(self) -> None:
+        crash = Scenario("half", "", (Crash(Scope.TENTH, 0.2, back_after_s=0.2),))
+        result = play(crash)
+        self.assertEqual((result.rules_broken, result.hollow), ([], 5))
+
+    def test_a_cut_region_catches_up_with_what_was_told_meanwhile(self) -> None:
+        away = Scenario("away", "", (RegionAway(0.3, seconds=20.0),))
+        result = play(away, routers=6)
+        self.assertEqual((result.lost, result.out_of_order), (0, 0))
+        self.assertIsNotNone(result.return_s)
+        self.assertGreater(result.return_bytes_per_router or 0, 20 * 110 * 50)
+
+
+class Command(unittest.TestCase):
+    def test_the_scenarios_are_listed(self) -> None:
+        code, out, _ = call("--list")
+        self.assertEqual(code, 0)
+        for name in ("steady", "burst", "restarts", "rack-lost", "zone-lost", "region-cut", "slow-routers"):
+            self.assertIn(f"{name}: ", out)
+
+    def test_bad_input_is_one_line_and_exit_code_2(self) -> None:
+        for args, told in {
+            ("stedy",): "found 'stedy', expected one of steady",
+            (): "found nothing, expected one of steady",
+            ("steady", "--routers", "0"): "--routers: found '0', expected a whole number",
+            ("steady", "--routers", "1000000"): "--routers: found 1000000, which take",
+            ("steady", "--feed", "pigeon"): "--feed: found 'pigeon', expected one of direct",
+            ("steady", "--seconds", "0.1"): "--seconds: found '0.1', expected a number from 2",
+            ("steady", "--topology", "/nowhere"): "/nowhere cannot be read",
+            ("steady", "--save", "/nowhere/x.json"): "--save: found '/nowhere/x.json'",
+            ("calibrate", "--sizes", "1,x"): "--sizes: found '1,x'",
+            ("calibrate", "--runs", "0"): "--runs: found '0'",
+        }.items():
+            with self.subTest(args):
+                code, out, err = call(*args)
+                self.assertEqual((code, out), (2, ""))
+                self.assertEqual(len(err.splitlines()), 1, err)
+                self.assertIn(told, err)
+
+    def test_a_broken_invariant_is_exit_code_1_and_the_result_is_saved(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            save = str(Path(folder) / "result.json")
+            args = ["steady", "--routers", "2", "--seconds", "2", "--caches", "5", "--save", save, "--json"]
+            code, out, _ = call(*args, "--settle", "0.5", "--drop-every", "40")
+            self.assertEqual(code, 1)
+            last = json.loads(out.splitlines()[-1])
+            self.assertEqual([key for key in KEYS if key not in last], [])
+            self.assertGreater(last["lost"], 0)
+            saved = json.loads(Path(save).read_text())
+            self.assertEqual((saved["figures"], saved["seed"]), (last, 1))
+            for key in ("command", "commit", "date"):
+                self.assertTrue(saved[key], key)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/scale/test_tally.py
@@ -0,0 +1,132 @@
+"""What routers applied: losses and order, and the figures and rules that follow."""
+
+from __future__ import annotations
+
+import unittest
+
+from magpieshift.config import ConfigError
+from magpieshift.lab.scale import memory
+from magpieshift.lab.scale.calibration import Cost, Kind, compared
+from magpieshift.lab.scale.result import (
+    Published,
+    Result,
+    judge_losses,
+    judge_purges,
+    judge_versions,
+    purge_times,
+)
+from magpieshift.lab.scale.sockets import parse
+from magpieshift.lab.scale.tally import FORGOTTEN_S, Applied, Shared, index_of, object_of
+
+
+class Purges(unittest.TestCase):
+    def setUp(self) -> None:
+        self.shared = Shared()
+        self.one = Applied(self.shared, "z0", first_purge=2, version=0)
+
+    def test_an_object_tells_the_index_of_its_purge(self) -> None:
+        self.assertEqual([index_of(int(object_of(i), 16)) for i in (0, 5, 1 << 40)], [0, 5, 1 << 40])
+
+    def test_what_came_in_order_is_neither_lost_nor_out_of_order(self) -> None:
+        for index in range(2, 6):
+            self.one.purges({index: 0.0}, float(index))
+        self.assertEqual((self.one.lost(6), self.one.out_of_order), (0, 0))
+        self.assertEqual(self.shared.purges, [0, 0, 2.0, 3.0, 4.0, 5.0])
+
+    def test_a_gap_is_lost_until_it_is_filled_and_then_out_of_order(self) -> None:
+        self.one.purges({2: 0.0}, 1.0)
+        self.one.purges({4: 0.0}, 2.0)
+        marks = bytearray(6)
+        self.one.mark_missing(marks)
+        self.assertEqual((self.one.lost(6), list(marks)), (2, [0, 0, 0, 1, 0, 1]))
+        self.one.purges({3: 0.0}, 3.0)
+        self.assertEqual((self.one.lost(5), self.one.out_of_order, self.one.next_purge), (0, 1, 5))
+
+    def test_one_call_has_no_order_and_repeats_count_for_nothing(self) -> None:
+        self.one.purges({4: 0.0, 3: 0.1, 2: 0.2}, 1.0)
+        self.one.purges({3: 8.1, 2: 8.2}, 9.0)
+        self.assertEqual((self.one.lost(5), self.one.out_of_order), (0, 0))
+        self.assertEqual(self.shared.purges[2:], [1.0, 1.0, 1.0])
+
+    def test_what_is_left_out_is_lost_unless_it_was_too_old_to_matter(self) -> None:
+        self.one.purges({2: 0.0}, 1.0)
+        self.one.purges({500: FORGOTTEN_S - 1, 501: 1.0}, 2.0)
+        self.assertEqual((self.one.lost(502), self.one.forgotten), (497, 0))
+        self.one.purges({502: FORGOTTEN_S, 503: 1.0}, 3.0)
+        self.assertEqual((self.one.lost(504), self.one.forgotten, self.one.out_of_order), (0, 497, 0))
+
+    def test_purges_from_before_its_start_are_not_owed(self) -> None:
+        self.assertEqual(self.one.lost(2), 0)
+        self.one.purges({0: 0.0}, 1.0)
+        self.assertEqual((self.one.out_of_order, self.shared.purges), (0, []))
+
+    def test_a_version_stands_for_all_that_it_replaces(self) -> None:
+        self.one.in_force(3, 7.0)
+        self.one.in_force(2, 8.0)
+        self.assertEqual(self.shared.versions, {"z0": {1: 7.0, 2: 7.0, 3: 7.0}})
+
+
+class Judged(unittest.TestCase):
+    def test_a_purge_is_done_when_the_last_router_of_any_process_has_it(self) -> None:
+        self.assertEqual(purge_times([1.0, 2.0], [[1.5, 2.25], [3.0]], []), [2.0, 0.25])
+
+    def test_one_that_was_not_done_has_no_time_and_breaks_the_rule(self) -> None:
+        result = Result()
+        judge_purges(result, purge_times([1.0, 2.0, 3.0], [[1.5, 2.5, 3.5]], [2]))
+        self.assertEqual(
+            (result.purge_done_p50_s, result.purge_done_p99_s, result.purge_done_max_s), (0.5, None, None)
+        )
+        self.assertEqual(len(result.rules_broken), 1)
+        self.assertIn("1 of 3 were not (worst: never)", result.rules_broken[0])
+
+    def test_a_late_purge_breaks_the_rule_and_one_in_time_does_not(self) -> None:
+        for time, broken in ((9.7, 0), (9.8, 1)):
+            result = Result()
+            judge_purges(result, [time])
+            self.assertEqual((result.purge_done_max_s, len(result.rules_broken)), (time, broken))
+
+    def test_versions_count_where_they_could_be_heard_of(self) -> None:
+        in_force = [{"z0": {1: 1.5}, "z1": {1: 60.0}}]
+        result = Result()
+        judge_versions(result, [Published(1, 1.0, frozenset({"z0"}))], in_force)
+        self.assertEqual((result.version_in_force_max_s, result.rules_broken), (0.5, []))
+        judge_versions(result, [Published(1, 1.0)], in_force)
+        self.assertEqual((result.version_in_force_max_s, len(result.rules_broken)), (59.0, 1))
+
+    def test_losses_disorder_and_old_versions_are_rules_by_name(self) -> None:
+        result = Result(out_of_order=2)
+        judge_losses(result, {"r7": 3}, {"r7": 4, "r8": 5}, newest=5)
+        told = "; ".join(result.rules_broken)
+        self.assertEqual((result.lost, len(result.rules_broken)), (3, 3))
+        for part in ("no purge lost: 3 by r7", "in order: 2", "not at r7"):
+            self.assertIn(part, told)
+
+
+class Measured(unittest.TestCase):
+    def test_memory_is_refused_above_half_of_the_machine(self) -> None:
+        memory.check(100, 6, 1000, of_mb=16_000)
+        with self.assertRaisesRegex(ConfigError, r"--routers: found 4000, .*at most 2000 MB"):
+            memory.check(4000, 6, 1000, of_mb=4000)
+        self.assertAlmostEqual(memory.machine_mb("MemTotal:  2048 kB\n"), 2.0)
+
+    def test_the_kernel_s_counters_are_read_by_stream(self) -> None:
+        text = (
+            "0      0      127.0.0.1:80 127.0.0.1:1\n\t cubic bytes_sent:9 bytes_acked:7 bytes_received:5 x\n"
+            "ESTAB 0 0  127.0.0.1:80 127.0.0.1:2\n\t cubic bytes_received:3\n"
+        )
+        self.assertEqual(
+            parse(text), {("127.0.0.1:80", "127.0.0.1:1"): 12, ("127.0.0.1:80", "127.0.0.1:2"): 3}
+        )
+
+    def test_ratios_are_of_means_with_the_spread_over_turns(self) -> None:
+        real = [Cost(4.0, 100.0, 10.0), Cost(6.0, None, 10.0)]
+        hollow = [Cost(5.0, 100.0, 5.0), Cost(6.0, 100.0, 5.0)]
+        row = compared(2, {Kind.REAL: real, Kind.TOGETHER: hollow, Kind.APART: real})
+        self.assertEqual(row["cpu_percent_together_ratio"], 1.1)
+        low, high = row["cpu_percent_together_ratio_low"], row["cpu_percent_together_ratio_high"]
+        self.assertEqual((low, high), (1.0, 1.25))
+        self.assertEqual((row["bytes_s_together_ratio"], row["mb_together_ratio"]), (1.0, 0.5))
+
+
+if __name__ == "__main__":
+    unittest.main()
