Feed hollow routers by the fan-out tier, and judge purges by leases too

A router without a lease bounds the age of its copies: a purge that it has not been told is done there so long after its acceptance. An hour's purges are simulated at once; the load begins when the tier has forgotten them, as it would have.

--- a/magpieshift/cli/scale.py
+++ b/magpieshift/cli/scale.py
@@ -7,13 +7,14 @@
 import json
 import sys
 from collections.abc import Iterable
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
 
 from magpieshift.cli.hinting import JSON
 from magpieshift.cli.logs import setup
-from magpieshift.cli.parameters import SEED, NewFile, Number, OneOf, Sizes, Whole
+from magpieshift.cli.parameters import SEED, NewFile, NewFolder, Number, OneOf, Sizes, Whole
 
 if TYPE_CHECKING:
     from magpieshift.lab.scale.calibration import Calibration
@@ -21,7 +22,7 @@
 
 CALIBRATE = "calibrate"
 LEAST_SECONDS, DAY_S = 2.0, 86_400.0
-ROLES = ("log", "control", "network", "worker")
+ROLES = ("log", "control", "node", "network", "worker")
 
 
 def scenarios() -> Iterable[str]:
@@ -76,11 +77,13 @@
     hidden=True,
     help="Planted fault: routers drop every such purge.",
 )
+@click.option("--logs", type=NewFolder(), default="", help="Folder for the log lines of all processes.")
 @click.option("--save", type=NewFile(), default="", help="File to write the whole result to, as JSON.")
 @JSON
 def lab_scale(
     scenario: str | None, listed: bool, routers: int, seed: int, seconds: float, settle: float, feed: str,
-    caches: int, topology: str, runs: int, sizes: tuple[int, ...], drop_every: int, save: str, as_json: bool,
+    caches: int, topology: str, runs: int, sizes: tuple[int, ...], drop_every: int, logs: str, save: str,
+    as_json: bool,
 ) -> None:  # fmt: skip
     """Many hollow routers (the control side of real ones) under the load of a large fleet; exit code 1 if an
     invariant broke. SCENARIO is one of --list, or "calibrate", which holds hollow ones against real ones."""
@@ -103,11 +106,14 @@
         places = read_file(topology) if topology else None
         plan = Plan(
             SCENARIOS[scenario], len(places.places) if places else routers, seed, seconds, feed, caches,
-            topology=places, settle_s=settle, drop_every=drop_every,
+            topology=places, settle_s=settle, drop_every=drop_every, logs=logs,
         )  # fmt: skip
+        Path(logs or ".").mkdir(parents=True, exist_ok=True)
         _play(plan, save, as_json)
     except ProcessEnded as err:
         raise click.ClickException(str(err)) from None
+    except TimeoutError:
+        raise click.ClickException("the processes of the run were not ready in time") from None
 
 
 def _play(plan: Plan, save: str, as_json: bool) -> None:
@@ -171,8 +177,11 @@
 @click.argument("role", type=click.Choice(ROLES))
 def scale_process(role: str) -> None:
     """A process of ``lab scale``, which speaks on standard input and output."""
-    from magpieshift.lab.scale import changelog, controller, network, worker
+    from magpieshift.lab.scale import changelog, controller, network, node, worker
 
     setup("pairs")  # as ``run`` has it: what a router logs is part of what it costs
-    parts = {"log": changelog.run, "control": controller.run, "network": network.run, "worker": worker.run}
+    parts = {
+        "log": changelog.run, "control": controller.run, "node": node.run, "network": network.run,
+        "worker": worker.run,
+    }  # fmt: skip
     asyncio.run(parts[role]())
--- a/magpieshift/lab/scale/fleet.py
+++ b/magpieshift/lab/scale/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -37,6 +38,7 @@
         self.topology, self._size, self.tier = topology, size, tier
         self.places: Mapping[str, Place] = {place.name: place for place in topology.places}
         self.paths: dict[str, str] = {place.name: place.zone for place in topology.places}
+        self.inside: set[str] = set()  # paths whose cuts leave what is in the same region
         self.live: set[str] = set()
         self.workers: list[Child] = []
         self.networks: list[Child] = []
@@ -110,7 +112,8 @@
         return self.tier.targets[target]
 
     def _placed(self, name: str) -> m.Place:
-        return self.tier.placed(self.places[name], self.paths[name], self.reach)
+        path = self.paths[name]
+        return self.tier.placed(self.places[name], path, self.reach, path in self.inside)
 
     async def start_routers(self, names: Collection[str]) -> None:
         """Start these, with what the log has told by now; returns once they are connected."""
@@ -133,6 +136,10 @@
         """Whether all live routers hear of versions."""
         return await self.tier.follow_all(len(self.live))
 
+    async def digested(self, without: Collection[str]) -> bool:
+        """Whether the tier has all that the change log has accepted, outside these zones."""
+        return await self.tier.digested((await self.log.ask(m.AskHead(), m.Head)).sequence, without)
+
     async def behind(self, names: Sequence[str] = ()) -> int:
         """How many live routers (of these) lack a purge or the newest version."""
         newest = self.published[-1].number if self.published else 0
@@ -148,6 +155,11 @@
             self.purges += count
             await self.log.tell(m.TellPurges(count=count, made_over_s=made_over_s))
 
+    async def tell_made(self) -> None:
+        """Tell all routers' processes that what was accepted until now was made until now."""
+        order = m.MadeBy(purges=self.purges, at_s=time.monotonic())
+        await asyncio.gather(*(worker.ask(order, m.Done) for worker in self.workers))
+
     async def change_list(self) -> None:
         """A cache goes on in its life: it drains, goes, or serves again."""
         place = self.list_changes // EVENTS_OF_A_CACHE
--- a/magpieshift/lab/scale/messages.py
+++ b/magpieshift/lab/scale/messages.py
@@ -23,6 +23,25 @@
     port: int = 0
 
 
+class StartSource(BaseModel):
+    """To a source of the fan-out tier: follow the change log at this port and the folder of versions."""
+
+    kind: Literal["start-source"] = "start-source"
+    log_port: int
+    versions: str
+    port: int = 0
+
+
+class StartRelay(BaseModel):
+    """To a relay: follow the source that is reached at this port, and serve routers at another."""
+
+    kind: Literal["start-relay"] = "start-relay"
+    name: str
+    region: str
+    source_port: int
+    port: int
+
+
 class StartNetwork(BaseModel):
     """To a network: carry streams to these ports of loopback, each path by a port of its own for each."""
 
@@ -130,14 +149,24 @@
     count: int
 
 
+class RelayPlace(BaseModel):
+    """A relay as one router reaches it."""
+
+    name: str
+    region: str
+    port: int
+
+
 class Place(BaseModel):
-    """A hollow router: its name, its network path, and the ports it is to use."""
+    """A hollow router: its name, its network path, and the ports it is to use; relays, where some are given,
+    in place of change log and control service."""
 
     name: str
     path: str
     log_port: int
-    control_port: int
-    relay_ports: list[int] = []
+    control_port: int = 0
+    region: str = ""
+    relays: list[RelayPlace] = []
 
 
 class StartRouters(BaseModel):
@@ -162,6 +191,14 @@
     kind: Literal["done"] = "done"
 
 
+class MadeBy(BaseModel):
+    """To a worker: so many purges, all that there are, were made by this time of the monotonic clock."""
+
+    kind: Literal["made-by"] = "made-by"
+    purges: int
+    at_s: float
+
+
 class AskBehind(BaseModel):
     """To a worker: how many live routers lack any of so many purges, or this version?"""
 
@@ -188,6 +225,8 @@
     missing: list[int]  # purges that some live router owes and has not applied
     lost: dict[str, int]  # how many of them, by router
     out_of_order: int
+    late: list[tuple[int, float, float]]  # purges applied without a lease: index, when, since when without
+    forgotten: int  # purges that were too old to matter when a router had the next ones
     version_behind: dict[str, int]  # by router: the version in force
 
 
@@ -219,9 +258,10 @@
 
 
 Message = (
-    StartLog | StartControl | StartNetwork | StartWorker | Ready | TellPurges | TellListChange | GoAway
-    | AskHead | Head | AskLog | LogReport | Publish | PublishedAt | AskFollowers | Count | StartRouters
-    | CrashRouters | Done | AskBehind | AskWorker | WorkerReport | PutFault | HealFault | Failed
+    StartLog | StartControl | StartSource | StartRelay | StartNetwork | StartWorker | Ready | TellPurges
+    | TellListChange | GoAway | AskHead | Head | AskLog | LogReport | Publish | PublishedAt | AskFollowers
+    | Count | StartRouters | CrashRouters | Done | AskBehind | AskWorker | WorkerReport | PutFault
+    | HealFault | MadeBy | Failed
 )  # fmt: skip
 _ANY: TypeAdapter[Message] = TypeAdapter(Annotated[Message, Field(discriminator="kind")])
 
--- /dev/null
+++ b/magpieshift/lab/scale/node.py
@@ -0,0 +1,44 @@
+"""A source or relay of the fan-out tier in a run, as a process of its own: the project's own node, told where
+the others are."""
+
+from __future__ import annotations
+
+import asyncio
+
+from magpieshift.lab.scale import child
+from magpieshift.lab.scale.messages import Message, Ready, StartRelay, StartSource
+from magpieshift.relay.node import RelayNode, RelayOptions, SourceNode, SourceOptions
+from magpieshift.relay.selection import Relay
+
+LOOPBACK = "127.0.0.1"
+
+
+def _made(message: Message) -> SourceNode | RelayNode:
+    match message:
+        case StartSource(log_port=log_port, versions=versions, port=port):
+            return SourceNode(SourceOptions((LOOPBACK, log_port), f"{LOOPBACK}:{port}", versions))
+        case StartRelay(name=name, region=region, source_port=source_port, port=port):
+            source = Relay("source", region, f"{LOOPBACK}:{source_port}")
+            return RelayNode(RelayOptions((source,), f"{LOOPBACK}:{port}", name, region))
+        case other:
+            raise RuntimeError(f"a node knows no {other.kind!r}")
+
+
+async def run() -> None:
+    """The process: a node that runs until its input ends."""
+    running: list[tuple[SourceNode | RelayNode, asyncio.Task[None]]] = []
+
+    async def handle(message: Message) -> Message | None:
+        node, ready = _made(message), asyncio.Event()
+        task = asyncio.ensure_future(node.run(lambda port: ready.set()))
+        task.add_done_callback(lambda _: ready.set())
+        running.append((node, task))
+        await ready.wait()
+        if task.done():
+            raise RuntimeError("the node has ended at its start")
+        return Ready(ports={"node": node.service.port})
+
+    await child.serve(handle)
+    for node, task in running:
+        node.stop()
+        await asyncio.wait([task])
--- a/magpieshift/lab/scale/processes.py
+++ b/magpieshift/lab/scale/processes.py
@@ -38,7 +38,9 @@
 
 
 class Child:
-    """Owner of one process of the run."""
+    """Owner of one process of the run. ``logs`` is the folder for what all of them log; None: nowhere."""
+
+    logs: Path | None = None
 
     def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
         self.name, self._process = name, process
@@ -49,11 +51,13 @@
     @classmethod
     async def start(cls, name: str, role: str, first: Message) -> Child:
         """Start a process in a role of ``lab scale-process``, and wait until it is ready."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "magpieshift", "lab", "scale-process", role,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
-            limit=LONGEST_LINE, start_new_session=True,
-        )  # fmt: skip
+        path = cls.logs / f"{name.replace(' ', '-')}.log" if cls.logs is not None else Path(os.devnull)
+        with path.open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "magpieshift", "lab", "scale-process", role,
+                stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log,
+                limit=LONGEST_LINE, start_new_session=True,
+            )  # fmt: skip
         child = cls(name, process)
         try:
             child.ports = (await child.ask(first, Ready)).ports
--- /dev/null
+++ b/magpieshift/lab/scale/relayed.py
@@ -0,0 +1,42 @@
+"""A hollow router that is fed by the fan-out tier's relays, through the fitting that real routers have."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import cast
+
+from magpieshift.app import EdgeRouter
+from magpieshift.installation.relayed import Changes, Relayed
+from magpieshift.lab.scale.hollow import HollowRouter
+from magpieshift.relay.selection import Relay
+
+
+class RelayFeed:
+    """A place in the fan-out tier, which brings purges, lists and versions."""
+
+    def __init__(self, router: HollowRouter, relays: Sequence[Relay], region: str) -> None:
+        """The fitting uses of its router only what a hollow one has."""
+        self._router = router
+        self._relayed = Relayed(cast(EdgeRouter, router), router.keeper, relays, region, router.name)
+        self._client = cast(Changes, router.change_source).client
+
+    @property
+    def connected(self) -> bool:
+        return self._client.caught_up.is_set()
+
+    @property
+    def leased(self) -> bool:
+        """Whether the engine accepts copies of any age."""
+        limit = self._router.engine.copy_age_limit
+        return limit is not None and limit() == 0
+
+    def start(self) -> None:
+        self._router.change_source.start()
+        self._router.lifecycle.served()
+
+    async def crash(self) -> None:
+        """Close the stream without a farewell, as a process that is killed."""
+        if (task := self._client._task) is not None:
+            task.cancel()
+            await asyncio.wait([task])
--- /dev/null
+++ b/magpieshift/lab/scale/relays.py
@@ -0,0 +1,176 @@
+"""The fan-out tier of a run: a source, and relays in every region, each a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import tempfile
+import time
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from magpieshift.lab.scale import messages as m
+from magpieshift.lab.scale.processes import Child
+from magpieshift.lab.scale.tier import LOG, Reach
+from magpieshift.lab.scale.topology import Place, Topology
+from magpieshift.relay import status
+from magpieshift.relay.limits import PURGES_KEPT_US
+
+SOURCE = "source"
+LOOPBACK = "127.0.0.1"
+RELAYS_A_REGION = 2
+
+
+FIXED_PORTS = range(20_000, 32_000)  # below those that the system gives to connections (ip_local_port_range)
+
+
+def fixed_ports(count: int) -> list[int]:
+    """Ports of loopback that nobody listens on, and that no connection is given meanwhile."""
+    found: list[int] = []
+    for port in random.sample(FIXED_PORTS, len(FIXED_PORTS)):
+        with contextlib.suppress(OSError), socket.create_server((LOOPBACK, port)):
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError(f"{count} ports wanted, {len(found)} are free")
+
+
+@dataclass
+class Machine:
+    """A relay: where it stands, and its process while it runs."""
+
+    name: str
+    region: str
+    zone: str
+    port: int
+    child: Child | None = None
+    gone_s: float = 0.0  # processor time of its processes that were killed
+
+    def cpu_s(self) -> float:
+        return self.gone_s + (self.child.cpu_s() if self.child is not None else 0.0)
+
+
+def machines(topology: Topology) -> list[Machine]:
+    """The relays: in each region that has routers, by turns in its zones."""
+    found = []
+    regions = sorted({place.region for place in topology.places})
+    ports = iter(fixed_ports(RELAYS_A_REGION * len(regions)))
+    for region in regions:
+        zones = [zone for zone, of in topology.form.zones.items() if of == region]
+        for number in range(RELAYS_A_REGION):
+            name = f"relay-{region}-{number}"
+            found.append(Machine(name, region, zones[number % len(zones)], next(ports)))
+    return found
+
+
+class RelayTier:
+    """Owner of the source, of all relays, and of the folder of versions."""
+
+    def __init__(self, topology: Topology) -> None:
+        self._machines = {machine.name: machine for machine in machines(topology)}
+        regions = [place.region for place in topology.places]
+        self._largest = max(sorted(set(regions)), key=regions.count)
+        self._folder = tempfile.TemporaryDirectory(prefix="scale-versions-")
+        self._log: Child | None = None
+        self._source: Child | None = None
+        self._reach: Reach = lambda path, target: self.targets[target]
+
+    async def open(self, log: Child) -> None:
+        self._log = log
+        start = m.StartSource(log_port=log.ports[LOG], versions=self._folder.name)
+        self._source = await Child.start(SOURCE, "node", start)
+
+    async def join(self, reach: Reach) -> None:
+        self._reach = reach
+        await asyncio.gather(*map(self._start, self._machines.values()))
+
+    async def close(self) -> None:
+        children = [self._source, *(machine.child for machine in self._machines.values())]
+        await asyncio.gather(*(child.end() for child in children if child is not None))
+        self._folder.cleanup()
+
+    async def _start(self, machine: Machine) -> None:
+        start = m.StartRelay(
+            name=machine.name, region=machine.region, port=machine.port,
+            source_port=self._reach(machine.zone, SOURCE),
+        )  # fmt: skip
+        machine.child = await Child.start(machine.name, "node", start)
+
+    @property
+    def source(self) -> Child:
+        assert self._source is not None
+        return self._source
+
+    @property
+    def targets(self) -> Mapping[str, int]:
+        relays = {machine.name: machine.port for machine in self._machines.values()}
+        return {SOURCE: self.source.ports["node"]} | relays
+
+    @property
+    def serving(self) -> list[int]:
+        return [machine.port for machine in self._machines.values()]
+
+    @property
+    def processes(self) -> int:
+        return 1 + len(self._machines)
+
+    def placed(self, place: Place, path: str, reach: Reach, inside: bool) -> m.Place:
+        assert self._log is not None
+        relays = [
+            m.RelayPlace(name=machine.name, region=machine.region, port=(
+                machine.port if inside and machine.region == place.region else reach(path, machine.name)
+            ))
+            for machine in self._machines.values()
+        ]  # fmt: skip
+        return m.Place(
+            name=place.name, path=path, log_port=self._log.ports[LOG], region=place.region, relays=relays
+        )
+
+    async def publish(self, number: int, text: str) -> float:
+        path = Path(self._folder.name) / f"{number}.sexp"
+        part = path.with_suffix(".part")
+        part.write_text(text, encoding="utf-8")
+        at_s = time.monotonic()
+        part.rename(path)  # the source must not read half of it
+        return at_s
+
+    async def follow_all(self, routers: int) -> bool:
+        """A router that has caught up has its place, and versions come to it there."""
+        return True
+
+    async def digested(self, events: int, without: Collection[str]) -> bool:
+        ports = [m.port for m in self._machines.values() if m.zone not in without]
+        asked = (status.ask(f"{LOOPBACK}:{port}") for port in [self.source.ports["node"], *ports])
+        try:
+            reports = await asyncio.gather(*asked)
+        except status.Unreachable:  # it is busy
+            return False
+        return all(report.head >= events for report in reports)
+
+    @property
+    def forgets_after_s(self) -> float:
+        return PURGES_KEPT_US / 1e6
+
+    async def lose(self, machines: int, seconds: float) -> None:
+        """So many relays of the largest region are killed, and started again at their ports."""
+        lost = [machine for machine in self._machines.values() if machine.region == self._largest][:machines]
+        await asyncio.gather(*map(self._kill, lost))
+        await asyncio.sleep(seconds)
+        await asyncio.gather(*map(self._start, lost))
+
+    async def lose_zone(self, zone: str) -> None:
+        lost = [machine for machine in self._machines.values() if machine.zone == zone]
+        await asyncio.gather(*map(self._kill, lost))
+
+    async def _kill(self, machine: Machine) -> None:
+        child, machine.child = machine.child, None
+        if child is not None:
+            await child.kill()
+            machine.gone_s += child.cpu_s()
+
+    def cpu_s(self) -> dict[str, float]:
+        relays = {machine.name: machine.cpu_s() for machine in self._machines.values()}
+        return {SOURCE: self.source.cpu_s()} | relays
--- a/magpieshift/lab/scale/tier.py
+++ b/magpieshift/lab/scale/tier.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 from magpieshift.lab.scale import messages as m
@@ -44,8 +44,8 @@
     @property
     def processes(self) -> int: ...
 
-    def placed(self, place: Place, path: str, reach: Reach) -> m.Place:
-        """Where a router finds what feeds it."""
+    def placed(self, place: Place, path: str, reach: Reach, inside: bool) -> m.Place:
+        """Where a router finds what feeds it; ``inside``: a cut of its path leaves what is in its region."""
         ...
 
     async def publish(self, number: int, text: str) -> float:
@@ -56,6 +56,16 @@
         """Whether so many routers hear of versions."""
         ...
 
+    async def digested(self, events: int, without: Collection[str]) -> bool:
+        """Whether so many events of the change log have come to all who stand outside these zones."""
+        ...
+
+    @property
+    def forgets_after_s(self) -> float:
+        """How long a purge is remembered from when it was heard: an hour that is simulated is over once those
+        that came in it are forgotten."""
+        ...
+
     async def lose(self, machines: int, seconds: float) -> None:
         """So many machines are gone for so long."""
         ...
@@ -112,7 +122,7 @@
     def processes(self) -> int:
         return 1
 
-    def placed(self, place: Place, path: str, reach: Reach) -> m.Place:
+    def placed(self, place: Place, path: str, reach: Reach, inside: bool) -> m.Place:
         return m.Place(
             name=place.name, path=path, log_port=reach(path, LOG), control_port=reach(path, CONTROL)
         )
@@ -125,6 +135,15 @@
     async def follow_all(self, routers: int) -> bool:
         return await self.followers() >= routers
 
+    async def digested(self, events: int, without: Collection[str]) -> bool:
+        """Nobody stands between."""
+        return True
+
+    @property
+    def forgets_after_s(self) -> float:
+        """Nobody but the change log remembers, and that forgets nothing."""
+        return 0.0
+
     async def followers(self) -> int:
         """How many routers are connected to the control service."""
         return (await self.control.ask(m.AskFollowers(), m.Count)).count
--- a/tests/scale/test_tally.py
+++ b/tests/scale/test_tally.py
@@ -55,6 +55,13 @@
         self.one.purges({502: FORGOTTEN_S, 503: 1.0}, 3.0)
         self.assertEqual((self.one.lost(504), self.one.forgotten, self.one.out_of_order), (0, 497, 0))
 
+    def test_what_is_known_to_be_old_is_forgotten_before_purges_that_are_not(self) -> None:
+        for now_s, lost in ((100.0 + FORGOTTEN_S - 1, 7), (100.0 + FORGOTTEN_S, 2)):
+            shared = Shared(made=(5, 100.0))
+            one = Applied(shared, "z0", 0, 0)
+            one.purges({7: 0.5}, now_s)
+            self.assertEqual(one.lost(8), lost)
+
     def test_purges_from_before_its_start_are_not_owed(self) -> None:
         self.assertEqual(self.one.lost(2), 0)
         self.one.purges({0: 0.0}, 1.0)
@@ -70,6 +77,26 @@
     def test_a_purge_is_done_when_the_last_router_of_any_process_has_it(self) -> None:
         self.assertEqual(purge_times([1.0, 2.0], [[1.5, 2.25], [3.0]], []), [2.0, 0.25])
 
+    def test_a_router_without_a_lease_has_a_purge_done_by_the_age_of_its_copies(self) -> None:
+        cases = {
+            "applied before the bound": ((0, 6.0, 4.0), 5.0),
+            "applied after it": ((0, 60.0, 4.0), 8.0),
+            "applied after it, and the lease lapsed later than it bounds": ((0, 60.0, 10.5), 9.5),
+        }
+        for name, (late, time) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(purge_times([1.0], [[1.25]], [], [late], lease_s=8.0), [time])
+
+    def test_what_is_applied_without_a_lease_is_told_apart(self) -> None:
+        shared = Shared()
+        one = Applied(shared, "z0", 0, 0)
+        one.leased(False, 3.0)
+        one.leased(False, 4.0)
+        one.purges({0: 0.0}, 5.0)
+        one.leased(True, 6.0)
+        one.purges({1: 0.0}, 7.0)
+        self.assertEqual((one.late, shared.purges, one.lost(2)), ([(0, 5.0, 3.0)], [0.0, 7.0], 0))
+
     def test_one_that_was_not_done_has_no_time_and_breaks_the_rule(self) -> None:
         result = Result()
         judge_purges(result, purge_times([1.0, 2.0, 3.0], [[1.5, 2.5, 3.5]], [2]))
