--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -167,6 +167,17 @@
         *FILES, ("{json}", "{json} is no saved episode: slices: found 3, expected a valid"),
         ("{json} --out {folder}", "--out"),
     ],
+    "lab capacity": [
+        ("--role none", "--role: found 'none'"), ("--save {under}", "--save: found"),
+        ("--router {none}", "--router: found"),
+    ],
+    "lab scale": [
+        ("", "found nothing, expected one of steady"), ("none", "found 'none', expected one of steady"),
+        ("steady --routers 0", "--routers"), ("steady --feed none", "--feed"),
+        ("steady --topology {none}", "{none}"), ("steady --topology {text}", "{text}"),
+        ("steady --save {under}", "--save"), ("calibrate --sizes 1,x", "--sizes: found '1,x'"),
+    ],
+    "lab scale-process": [("none", "expected one of")],
     "lab demo": [("--seconds nan", "--seconds"), ("--out {under}", "--out")],
 }  # fmt: skip
 
