Keep the former relay's stream open until it is told farewell

After a planned move the farewell was never heard: cancelling the task that read the former stream ended the stream with it, so the relay counted the follower until its lease had lapsed. The reading goes on, and what it brings is dropped; the stream's owner ends both.

A follower's name is bounded at 256 characters and its message at 16 KB, since who serves keeps the last one.

--- a/magpieshift/relay/client.py
+++ b/magpieshift/relay/client.py
@@ -5,8 +5,8 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import grpc
 import grpc.aio
@@ -66,6 +66,7 @@
     def __init__(self, address: str) -> None:
         self._channel = grpc.aio.insecure_channel(address, options=OPTIONS)
         self._call = self._channel.stream_stream(METHOD)()
+        self.reading: asyncio.Task[None] | None = None  # to cancel it in a read ends the stream
 
     async def open(self) -> None:
         """Wait for the connection to come up; ``TimeoutError`` or ``ConnectionError`` where it does not."""
@@ -96,6 +97,8 @@
 
     async def close(self) -> None:
         """End the stream, whatever is under way on it."""
+        if self.reading is not None:
+            self.reading.cancel()
         self._call.cancel()
         await self._channel.close()
 
@@ -176,14 +179,15 @@
     async def _follow(self, relay: Relay) -> str:
         """One stream, from join to its end; why it ended."""
         connection, kept = Connection(relay.address), False
-        tasks: list[asyncio.Task[None]] = []
+        ticking: asyncio.Task[None] | None = None
         try:
             await connection.open()
             join = self._follower.connect(clock.source.steady_us())
             await connection.write(encode_from(join))
             self._connection = connection
-            reading, ticking = self._read(connection, relay), self._tick(connection)
-            tasks = [asyncio.ensure_future(reading), asyncio.ensure_future(ticking)]
+            connection.reading = _watched(self._read(connection, relay))
+            ticking = _watched(self._tick(connection))
+            tasks = (connection.reading, ticking)
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
@@ -205,8 +209,8 @@
             return "the stream ended"
         finally:
             self._connection = None
-            for task in tasks:
-                task.cancel()
+            if ticking is not None:
+                ticking.cancel()
             if not kept:
                 await connection.close()
 
@@ -220,10 +224,10 @@
         await former.say_goodbye(encode_from(self._follower.farewell()))
 
     async def _read(self, connection: Connection, relay: Relay) -> None:
-        """Take in what the relay sends, each message in one turn."""
+        """Take in what the relay sends, each message in one turn; nothing more once another is followed."""
         found = False
         while (data := await connection.read()) is not None:
-            if not self._receiving:
+            if not self._receiving or connection is not self._connection:
                 continue
             message = decode(data)
             now_us = clock.source.steady_us()
@@ -295,6 +299,13 @@
         raise Moved(f"{better.name} is there")
 
 
+def _watched(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    """A task whose error is known to be looked at, also where another ended first."""
+    task = asyncio.ensure_future(work)
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
+    return task
+
+
 async def _is_current(relay: Relay) -> bool:
     """Whether a relay answers and could give a lease."""
     try:
--- a/magpieshift/relay/codec.py
+++ b/magpieshift/relay/codec.py
@@ -35,6 +35,7 @@
 PLAIN_KEY = re.compile(r"[0-9a-f]{16}")  # sent as eight bytes
 MS_US = 1000
 MOST_SNAPSHOT_BYTES = 4 * MOST_BYTES  # the purges of a long burst alone come near to MOST_BYTES
+MOST_NAME = 256  # characters of a follower's name: who serves keeps it
 MOST_TIME_US = (1 << 62) - 1  # of Unix times on the wire
 MOST_GROUP = (1 << 63) - 1
 
@@ -306,8 +307,9 @@
     said = _parsed(message, data)
     if said == "join":
         join = message.join
-        if not join.name:
-            raise Malformed("join name", "nothing", "the follower's name")
+        for what, text, least in (("name", join.name, 1), ("boot", join.boot, 0)):
+            if not least <= len(text) <= MOST_NAME:
+                raise Malformed(f"join {what}", f"{len(text)} characters", f"{least} to {MOST_NAME}")
         epoch, heard = _read_epoch(join.epoch), _read_epoch(join.heard)
         return Join(join.name, join.boot, epoch, join.applied, join.configuration, heard)
     if said == "progress":
--- a/magpieshift/relay/service.py
+++ b/magpieshift/relay/service.py
@@ -31,7 +31,8 @@
 TICK_S = 0.05
 JOIN_S = 3.0  # a stream that has not joined by then is ended
 MOST_STREAMS = 8192  # also those that have not joined
-SERVER_OPTIONS = [*OPTIONS, ("grpc.max_receive_message_length", 1 << 16)]  # what followers say is short
+MOST_HEARD_BYTES = 1 << 14  # of a follower's message, the last of which is kept: a hundred are common
+SERVER_OPTIONS = [*OPTIONS, ("grpc.max_receive_message_length", MOST_HEARD_BYTES)]
 
 Code = grpc.StatusCode
 
--- a/tests/relay/rig.py
+++ b/tests/relay/rig.py
@@ -30,13 +30,13 @@
 class Router:
     """A follower that notes what it is told."""
 
-    def __init__(self, name: str, relays: Sequence[Relay]) -> None:
+    def __init__(self, name: str, relays: Sequence[Relay], rand: random.Random | None = None) -> None:
         self.name = name
         self.follower = Follower(name, f"boot of {name}")
         self.entries: list[Entry] = []
         self.snapshots: list[Snapshot] = []
         self.whole: list[ConfigurationChange] = []
-        self.client = RelayClient(self.follower, Selection(relays, random.Random(1)), self)
+        self.client = RelayClient(self.follower, Selection(relays, rand or random.Random(1)), self)
 
     def apply(self, batch: Apply) -> None:
         self.entries += batch.entries
--- a/tests/relay/test_codec.py
+++ b/tests/relay/test_codec.py
@@ -174,7 +174,10 @@
     def test_what_is_no_followers_message(self) -> None:
         hello = bytes(wire.FromRouter(hello=wire.Hello(router="r")).SerializeToString())
         nameless = codec.encode_from(Join("", "", NO_EPOCH, 0, ""))
-        for data, found in ((hello, "hello"), (b"", "nothing"), (nameless, "nothing")):
+        long = codec.encode_from(Join("n" * (codec.MOST_NAME + 1), "", NO_EPOCH, 0, ""))
+        for data, found in (
+            (hello, "hello"), (b"", "nothing"), (nameless, "0 characters"), (long, "257 characters"),
+        ):  # fmt: skip
             with self.assertRaises(Malformed) as caught:
                 codec.decode_from(data)
             self.assertEqual(caught.exception.found, found)
--- a/tests/relay/test_drivers.py
+++ b/tests/relay/test_drivers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 import tempfile
 import time
 import unittest
@@ -24,7 +25,7 @@
 from magpieshift.relay.follower import Apply
 from magpieshift.relay.messages import NO_EPOCH, Batch, ConfigurationChange, Epoch, Join, Progress
 from magpieshift.relay.node import RelayNode, RelayOptions, SourceNode, SourceSuperseded
-from magpieshift.relay.service import Stream
+from magpieshift.relay.service import MOST_HEARD_BYTES, Stream
 from magpieshift.relay.source import Delays
 from tests.relay.rig import RelayCase, Router, at
 
@@ -248,6 +249,60 @@
         self.assertIs(await late.code(), grpc.StatusCode.FAILED_PRECONDITION)
 
 
+class Eager(random.Random):
+    """Waits for nothing that is drawn."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return 0.0
+
+
+class Return(RelayCase):
+    async def test_a_follower_goes_back_to_a_better_relay_and_takes_leave_of_the_other(self) -> None:
+        _, source_port = await self.source()
+        other, other_port = await self.relay("b", source_port)
+        better_port, leaving = peers.free_port(), NotingFanout(other)
+        router = Router("r1", [at(better_port), at(other_port)], Eager())
+        router.client.start()
+        self.addAsyncCleanup(router.client.stop)
+        await self.all_current(router)
+        self.purge(5)
+        await self.all_told(router)
+        self.assertEqual(router.client.relay, at(other_port))
+
+        options = RelayOptions([at(source_port)], f"127.0.0.1:{better_port}", "a", "north")
+        better = RelayNode(options, random.Random(1))
+        ending = NotingFanout(better)
+        await self.node(better)
+        await self.until(lambda: router.client.relay == at(better_port), "it goes back")
+        await self.until(lambda: bool(better.service.counters.joins), "it joins the better one")
+
+        await self.until(lambda: leaving.released, "it takes leave of the other")
+        self.assertTrue(router.current)
+        self.purge(5)
+        await self.all_told(router)
+        self.assertEqual(router.purged, self.keys)
+        await router.client.stop()
+        await self.until(lambda: ending.released, "it gives up its lease as it ends")
+
+
+class NotingFanout:
+    """Notes what a node's followers say, and hands it on."""
+
+    def __init__(self, node: RelayNode) -> None:
+        self._progress = node.fanout.progress
+        self.heard: list[Progress] = []
+        node.fanout.progress = self.progress  # type: ignore[method-assign]
+
+    def progress(self, stream: int, progress: Progress, now_us: int) -> None:
+        self.heard.append(progress)
+        self._progress(stream, progress, now_us)
+
+    @property
+    def released(self) -> bool:
+        """Whether the last word was that the follower need not be counted."""
+        return bool(self.heard) and self.heard[-1].released
+
+
 class Words(RelayCase):
     """What is said on streams that cannot be."""
 
@@ -266,6 +321,10 @@
             self.assertIn("found", await bad.call.details())
             await bad.close()
         self.assertEqual(source.service.counters.refused, 4)
+        large = RawFollower(port)
+        await large.call.write(b"x" * (MOST_HEARD_BYTES + 1))
+        self.assertIs(await large.code(), grpc.StatusCode.RESOURCE_EXHAUSTED)
+        await large.close()
         self.purge(5)
         await self.all_told(router)
 
