Call nobody behind where there is no newest version

A source without a folder of versions called every router behind that had one of its own, in status and in the relays' reports. relay status now says that there is no version.

--- a/magpieshift/cli/relays.py
+++ b/magpieshift/cli/relays.py
@@ -109,7 +109,7 @@
         f"{report.name} {report.region} after {report.upstream}: epoch {report.epoch.term}, "
         f"entry {report.head}, done everywhere {report.done}, {age}"
     )
-    version = f"version {report.version} {report.digest[:SHOWN_DIGEST]}"
+    version = f"version {report.version} {report.digest[:SHOWN_DIGEST]}" if report.version else "no version"
     click.echo(f"{version}; {report.followers_count} followers, "
                f"{report.behind_count} without it: {' '.join(report.behind)}")  # fmt: skip
     show.table(
--- a/magpieshift/relay/report.py
+++ b/magpieshift/relay/report.py
@@ -39,14 +39,15 @@
 
 
 def make_report(epoch: Epoch, done: int, places: Iterable[Place], newest_digest: str) -> Report:
-    """The report over the followers that are connected, and over what these report of their own."""
+    """The report over the followers that are connected, and over what these report of their own. Nobody is
+    behind where there is no newest version."""
     behind: list[str] = []
     behind_count = followers = 0
     for place in places:
         if place.stream is None:
             continue
         followers += 1
-        if place.last is None or place.last.configuration != newest_digest:
+        if newest_digest and (place.last is None or place.last.configuration != newest_digest):
             behind_count += 1
             behind.append(place.name)
         if place.last is not None:
--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -224,6 +224,7 @@
         await self.until(self.leased, "a lease")
         self.purge(5)
         await self.until(self.has_all, "all purges")
+        self.assertTrue(await self.nobody_behind(), "there is no version yet to be behind")
         await self.bound_of("0000000000000001")
         self.check_orders(self.cache.orders)
 
