--- a/magpieshift/lab/simulated/fanout_processes.py
+++ b/magpieshift/lab/simulated/fanout_processes.py
@@ -79,6 +79,11 @@
     return ConfigurationChange(change.number, change.digest, "", change.content)
 
 
+def no_age(now_us: int) -> int:
+    """How long ago a source heard of itself."""
+    return 0
+
+
 class Server:
     """The serving side of a source or relay."""
 
@@ -136,7 +141,13 @@
         super().__init__(name, boot)
         self.currency = SourceCurrency()
         self.log = SequencedLog(epoch, most=most_entries)
-        self.fanout = Fanout(self.log, self.state, self.currency.age_us, counts_from_us=now_us + lapse_us())
+        self.fanout = Fanout(
+            self.log,
+            self.state,
+            self.currency.age_us,
+            counts_from_us=now_us + lapse_us(),
+            link_age=no_age,
+        )
 
     def read(self, entries: Iterable[Entry], current_to_us: int, now_us: int) -> None:
         """Everything in the change log's socket was read; ``current_to_us`` is when it was empty before."""
@@ -275,3 +286,6 @@
     def superseded(self, epoch: Epoch, now_us: int) -> list[Output]:
         self.follower.heard_of(epoch)
         return []
+
+
+Process = Source | Relay | Router
