Explore a small fan-out tier exhaustively, and plant defects that must be found

Routers of the simulation now may apply in a later turn, and new sources re-read only as much of the change log as purges matter.

--- a/magpieshift/lab/simulated/fanout.py
+++ b/magpieshift/lab/simulated/fanout.py
@@ -33,6 +33,7 @@
 from magpieshift.relay.messages import Batch, Epoch, FromFollower, Purge, Snapshot
 
 SECOND = 1_000_000
+APPLIED_SHARE = 0.2  # of its turns, in which a router that applies later does
 WRITES_AHEAD = 8  # messages that a stream takes before its writer has to wait
 STREAMS_OF_A_LIFE = 100_000  # numbers of streams that one life of a process may use
 PURGE_BYTES, MESSAGE_BYTES = 28, 40  # estimates of what a purge and a message cost on the wire
@@ -143,7 +144,7 @@
         if name.startswith("R"):
             host.process = Relay(name, boot, first_stream, self.form.log_entries)
         else:
-            host.process = Router(name, boot, first_stream)
+            host.process = Router(name, boot, first_stream, applies_later=rand.random() < 0.5)
             self.judge.router_began(name)
 
     def _start_source(self, host: Host, boot: str) -> None:
@@ -174,7 +175,7 @@
         self.time.at(host.asleep_until_us, lambda: self._woken(host))
 
     def _woken(self, host: Host) -> None:
-        """A request that was in hand comes first, then what waited, and timers at any point between."""
+        """A request that was in hand comes first, then what waited, and timers before or after it."""
         if host.asleep:
             return
         if isinstance(host.process, Router):
@@ -215,8 +216,11 @@
             self.judge.logs[process.log.epoch] += self.readings[host.name].read(process)
         if isinstance(process, Following):
             self._follow(host, process)
-        if isinstance(process, Router) and self.rand.random() < self.form.attempt_share:
-            self._attempt(host, process)
+        if isinstance(process, Router):
+            if self.rand.random() < self.form.attempt_share:
+                self._attempt(host, process)
+            if self.rand.random() < APPLIED_SHARE:
+                self._handle(host, process.apply(host.now_us()))
         if isinstance(process, Server):
             self._serve(host, process)
         self._look(host)
--- a/magpieshift/lab/simulated/fanout_changes.py
+++ b/magpieshift/lab/simulated/fanout_changes.py
@@ -7,10 +7,11 @@
 from magpieshift.lab.simulated.fanout_network import Host
 from magpieshift.lab.simulated.fanout_processes import Source
 from magpieshift.lab.simulated.time import Time
+from magpieshift.relay.limits import PURGES_KEPT_US
 from magpieshift.relay.messages import ConfigurationChange, Entry, Purge, StoreChange
 
 HELD_MOST_US = 900_000  # the longest that its words are under way to a source
-REPLAYED_US = 60_000_000  # entries so old are still told to a source that begins
+REPLAYED_US = PURGES_KEPT_US  # entries so old are still told to a source that begins
 
 
 class ChangeLog:
--- a/magpieshift/lab/simulated/fanout_processes.py
+++ b/magpieshift/lab/simulated/fanout_processes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -191,16 +192,16 @@
             elif isinstance(effect, TakeConfiguration):
                 self.took_configuration(effect.configuration)
             else:
-                self.carry_out(effect, now_us)
-                outputs.append(Took(effect))
+                outputs += self.carry_out(effect, now_us)
         return outputs
 
-    def carry_out(self, effect: Apply | TakeSnapshot, now_us: int) -> None:
+    def carry_out(self, effect: Apply | TakeSnapshot, now_us: int) -> list[Output]:
         """Apply entries or a snapshot, as a whole."""
         if isinstance(effect, Apply):
             self.follower.applied_up_to(effect.epoch, effect.last)
         else:
             self.follower.applied_up_to(effect.snapshot.epoch, effect.snapshot.applied)
+        return [Took(effect)]
 
     def took_configuration(self, whole: ConfigurationChange) -> None:
         """A whole configuration was sent on request."""
@@ -236,7 +237,25 @@
 
 
 class Router(Following):
-    """The control side of a router."""
+    """The control side of a router. It may apply what it has received in a later turn."""
+
+    def __init__(self, name: str, boot: str, first_stream: int, applies_later: bool = False) -> None:
+        super().__init__(name, boot, first_stream)
+        self._applies_later = applies_later
+        self._to_apply: deque[Apply | TakeSnapshot] = deque()
+
+    def carry_out(self, effect: Apply | TakeSnapshot, now_us: int) -> list[Output]:
+        if self._applies_later:
+            self._to_apply.append(effect)
+            return []
+        return super().carry_out(effect, now_us)
+
+    def apply(self, now_us: int) -> list[Output]:
+        """Apply what was received and waits."""
+        outputs: list[Output] = []
+        while self._to_apply:
+            outputs += super().carry_out(self._to_apply.popleft(), now_us)
+        return outputs
 
     def copy_age_limit(self, now_us: int) -> int:
         """The bound of an attempt that is made now; 0 for none."""
@@ -263,7 +282,7 @@
         """What the source has called done."""
         return self.follower.done
 
-    def carry_out(self, effect: Apply | TakeSnapshot, now_us: int) -> None:
+    def carry_out(self, effect: Apply | TakeSnapshot, now_us: int) -> list[Output]:
         if isinstance(effect, Apply):
             self.log.extend(effect.first, effect.entries)
             for entry in effect.entries:
@@ -271,7 +290,7 @@
         else:
             self.state.restore(effect.snapshot, now_us)
             self.log.restart(effect.snapshot.epoch, effect.snapshot.applied)
-        super().carry_out(effect, now_us)
+        return super().carry_out(effect, now_us)
 
     def took_configuration(self, whole: ConfigurationChange) -> None:
         self.state.take_configuration(whole)
--- /dev/null
+++ b/tests/relay/test_planted.py
@@ -0,0 +1,354 @@
+"""Defects planted on purpose in the state machines of the fan-out tier: each is found."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import itertools
+import unittest
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+from unittest import mock
+
+from magpieshift.lab.simulated.fanout_histories import History
+from magpieshift.lab.simulated.fanout_judge import RuleBroken
+from magpieshift.lab.simulated.fanout_processes import Connect, Router, Send, Source
+from magpieshift.relay import currency, fanout
+from magpieshift.relay.currency import Currency, SourceCurrency
+from magpieshift.relay.fanout import Fanout
+from magpieshift.relay.follower import Apply, EndStream, Follower
+from magpieshift.relay.limits import CLOCK_DRIFT, LEASE_US
+from magpieshift.relay.log import SequencedLog
+from magpieshift.relay.messages import Epoch, Progress, ToFollower
+from magpieshift.relay.serving import Stream
+from magpieshift.relay.snapshot import State
+from magpieshift.relay.watermark import Watermark
+from tests.relay.test_explored import SCENARIOS, explore
+
+Plant = contextlib.AbstractContextManager[Any]
+
+
+def replaced(owner: Any, name: str, make: Callable[[Any], Any]) -> Plant:
+    """A method or function replaced by what is made of it."""
+    return mock.patch.object(owner, name, make(getattr(owner, name)))
+
+
+def ignore_the_lease() -> Plant:
+    return mock.patch.object(Currency, "copy_age_limit", lambda self, now_us: 0)
+
+
+def count_a_follower_late() -> Plant:
+    def make(proof_sent: Any) -> Any:
+        def wrong(self: Any, place: Any, until_us: int) -> None:
+            if place.counts_until_us is None:
+                place.counts_until_us = 0
+            else:
+                proof_sent(self, place, until_us)
+
+        return wrong
+
+    return replaced(Watermark, "proof_sent", make)
+
+
+def forget_who_has_left() -> Plant:
+    def make(drop: Any) -> Any:
+        def wrong(self: Any, stream: int) -> None:
+            self._watermark.released(self._streams[stream].place)
+            drop(self, stream)
+
+        return wrong
+
+    return replaced(Fanout, "_drop", make)
+
+
+def forget_the_boot() -> Plant:
+    def make(place: Any) -> Any:
+        def wrong(self: Any, name: str, boot: str, now_us: int) -> Any:
+            for at in [at for at in self.places if at[0] == name and at[1] != boot]:
+                del self.places[at]
+            return place(self, name, boot, now_us)
+
+        return wrong
+
+    return replaced(Watermark, "place", make)
+
+
+@contextlib.contextmanager
+def prove_before_the_head_was_sent() -> Iterator[None]:
+    """Even to a follower that does not keep up: either alone is caught by the other. Batches are of one
+    entry, so that the head needs several."""
+
+    def make(proof: Any) -> Any:
+        def wrong(self: Any, to: Any, cut: Any, now_us: int) -> Any:
+            return proof(self, to, dataclasses.replace(cut, head=min(cut.head, to.cursor)), now_us)
+
+        return wrong
+
+    with (
+        replaced(Fanout, "_proof", make),
+        mock.patch.object(Stream, "keeps_up", lambda self, now_us: True),
+        mock.patch.object(fanout, "MOST_BATCH_ENTRIES", 1),
+    ):
+        yield
+
+
+def count_a_proof_before_its_head_is_applied() -> Plant:
+    def make(proven: Any) -> Any:
+        def wrong(self: Any, epoch: Any, proof: Any) -> None:
+            proven(self, self._position[0], dataclasses.replace(proof, head=0))
+
+        return wrong
+
+    return replaced(Currency, "proven", make)
+
+
+def acknowledge_before_applying() -> Plant:
+    def make(progress: Any) -> Any:
+        def wrong(self: Any, now_us: int, report: Any) -> Any:
+            made, (epoch, taken) = progress(self, now_us, report), self._taken
+            if report is not None:
+                return made
+            return dataclasses.replace(made, epoch=epoch, applied=taken, done=taken)
+
+        return wrong
+
+    return replaced(Follower, "_progress", make)
+
+
+def acknowledge_what_never_came() -> Plant:
+    def make(progress: Any) -> Any:
+        def wrong(self: Any, now_us: int, report: Any) -> Any:
+            made = progress(self, now_us, report)
+            return (
+                made if report else dataclasses.replace(made, applied=made.applied + 1, done=made.applied + 1)
+            )
+
+        return wrong
+
+    return replaced(Follower, "_progress", make)
+
+
+@contextlib.contextmanager
+def believe_any_acknowledgement() -> Iterator[None]:
+    def make(acknowledged: Any) -> Any:
+        def wrong(self: Any, to: Any, progress: Any) -> None:
+            to.known = max(to.known, progress.applied)
+            acknowledged(self, to, progress)
+
+        return wrong
+
+    with acknowledge_what_never_came(), replaced(Fanout, "_acknowledged", make):
+        yield
+
+
+def call_done_what_followers_cannot_see_yet() -> Plant:
+    def wrong(self: Any, now_us: int) -> int:
+        self._heed(now_us)
+        self._watermark.expire(now_us)
+        return 0 if now_us < self._counts_from_us else int(self._watermark.done(self._log.head, now_us))
+
+    return mock.patch.object(Fanout, "done", wrong)
+
+
+def take_the_age_of_a_relay_as_zero() -> Plant:
+    return mock.patch.object(Currency, "epoch_age_us", lambda self, now_us: 0)
+
+
+def take_the_age_of_the_source_as_zero() -> Plant:
+    return mock.patch.object(SourceCurrency, "age_us", lambda self, now_us: 0)
+
+
+def let_a_stale_relay_extend_leases() -> Plant:
+    return mock.patch.object(Currency, "epoch_age_us", lambda self, now_us: min(LEASE_US // 2, 10**6))
+
+
+def skip_a_gap() -> Plant:
+    def make(after: Any) -> Any:
+        def wrong(self: Any, sequence: int, up_to: int | None = None) -> Any:
+            return after(self, sequence, up_to)[1:] if sequence % 7 == 6 else after(self, sequence, up_to)
+
+        return wrong
+
+    return replaced(SequencedLog, "after", make)
+
+
+def apply_duplicates_as_new() -> Plant:
+    def make(batch: Any) -> Any:
+        def wrong(self: Any, message: Any, now_us: int) -> Any:
+            effects = batch(self, message, now_us)
+            if not message.entries or any(isinstance(effect, EndStream) for effect in effects):
+                return effects
+            return [Apply(message.epoch, message.first, message.entries)]
+
+        return wrong
+
+    return replaced(Follower, "_batch", make)
+
+
+@contextlib.contextmanager
+def forget_the_drift() -> Iterator[None]:
+    with (
+        mock.patch.object(currency, "stretched", lambda duration_us: duration_us),
+        mock.patch.object(fanout, "stretched", lambda duration_us: duration_us),
+        mock.patch.object(fanout, "lapse_us", lambda: LEASE_US),
+    ):
+        yield
+
+
+def call_done_at_once_after_a_start() -> Plant:
+    def make(begin: Any) -> Any:
+        def wrong(self: Any, *args: Any, **options: Any) -> None:
+            begin(self, *args, **options | {"counts_from_us": 0})
+
+        return wrong
+
+    return replaced(Fanout, "__init__", make)
+
+
+def report_only_what_the_relay_has() -> Plant:
+    def make(report: Any) -> Any:
+        def wrong(self: Any, now_us: int) -> Any:
+            return dataclasses.replace(report(self, now_us), done=self._log.head)
+
+        return wrong
+
+    return replaced(Fanout, "report", make)
+
+
+def hand_out_snapshots_without_purges() -> Plant:
+    def make(snapshot: Any) -> Any:
+        def wrong(self: Any, *args: Any) -> Any:
+            return dataclasses.replace(snapshot(self, *args), purges=())
+
+        return wrong
+
+    return replaced(State, "snapshot", make)
+
+
+def count_half_as_long() -> Plant:
+    return mock.patch.object(fanout, "lapse_us", lambda: LEASE_US // 2)
+
+
+def say_farewell_before_the_lease_rests_on_the_new_stream() -> Plant:
+    return mock.patch.object(Follower, "rests_on_stream", True)
+
+
+@contextlib.contextmanager
+def forget_the_epoch() -> Iterator[None]:
+    """At a join and of a batch: either alone is caught by the other's check."""
+
+    def make_join(join: Any) -> Any:
+        def wrong(self: Any, stream: int, message: Any, now_us: int) -> Any:
+            told = dataclasses.replace(message, epoch=self._epoch, heard=self._epoch)
+            return join(self, stream, told, now_us)
+
+        return wrong
+
+    def make_batch(batch: Any) -> Any:
+        def wrong(self: Any, message: Any, now_us: int) -> Any:
+            self.heard = self._taken[0]
+            return batch(self, dataclasses.replace(message, epoch=self._taken[0]), now_us)
+
+        return wrong
+
+    with replaced(Fanout, "join", make_join), replaced(Follower, "_batch", make_batch):
+        yield
+
+
+class Found(NamedTuple):
+    """A defect, and what finds it: a scenario of the exploration by name, or else random histories."""
+
+    plant: Callable[[], Plant]
+    scenario: str = ""
+
+
+PLANTED = (
+    Found(forget_the_epoch),
+    Found(ignore_the_lease),
+    Found(count_a_follower_late, "a router back"),
+    Found(forget_who_has_left),
+    Found(forget_the_boot),
+    Found(prove_before_the_head_was_sent, "a router behind"),
+    Found(count_a_proof_before_its_head_is_applied, "a relay wakes"),
+    Found(acknowledge_before_applying),
+    Found(acknowledge_what_never_came),
+    Found(believe_any_acknowledgement),
+    Found(call_done_what_followers_cannot_see_yet, "a relay wakes"),
+    Found(take_the_age_of_a_relay_as_zero),
+    Found(take_the_age_of_the_source_as_zero),
+    Found(let_a_stale_relay_extend_leases),
+    Found(skip_a_gap),
+    Found(apply_duplicates_as_new, "a router ahead"),
+    Found(call_done_at_once_after_a_start),
+    Found(report_only_what_the_relay_has),
+    Found(hand_out_snapshots_without_purges),
+    Found(count_half_as_long),
+    Found(say_farewell_before_the_lease_rests_on_the_new_stream, "a move"),
+)
+MOST_HISTORIES = 12  # in which a defect is found, mostly in the first
+
+
+class Planted(unittest.TestCase):
+    def test_each_defect_is_found(self) -> None:
+        for plant, scenario in PLANTED:
+            with self.subTest(plant.__name__):
+                with plant(), self.assertRaises(RuleBroken) as found:
+                    if scenario:
+                        explore(next(known for known in SCENARIOS if known.name == scenario))
+                    for seed in range(MOST_HISTORIES):
+                        History(seed).run()
+                print(f"{plant.__name__}: {found.exception}")
+
+
+class Edge(unittest.TestCase):
+    """The end of a lease, by clocks whose rates differ as much as they may."""
+
+    def test_whoever_holds_a_lease_is_counted(self) -> None:
+        for rates in RATES:
+            with self.subTest(rates):
+                self.assertGreater(leased_for_us(*rates), LEASE_US // 2)
+
+    def test_forgetting_the_drift_is_found(self) -> None:
+        with forget_the_drift(), self.assertRaises(RuleBroken):
+            for rates in RATES:
+                leased_for_us(*rates)
+
+
+RATES = tuple(itertools.product((-CLOCK_DRIFT / 2, 0.0, CLOCK_DRIFT / 2), repeat=2))
+STEP_US = 500
+
+
+def leased_for_us(follower_rate: float, server_rate: float) -> int:
+    """How long a router holds its lease that a source has proven at once and then never again. ``RuleBroken``
+    where it is leased in a moment in which the source does not count it."""
+
+    def by_router(now_us: int) -> int:
+        return now_us + int(now_us * follower_rate)
+
+    def by_source(now_us: int) -> int:
+        return now_us + int(now_us * server_rate)
+
+    source = Source("S", "S/1", Epoch(1, 1), 0)
+    router = Router("E", "E/1", 0)
+    for now_us in (10_000_000, 11_000_000, 12_000_000):  # joins, takes the snapshot, is proven
+        source.read([], by_source(now_us), by_source(now_us))
+        said = router.connect("S", by_router(now_us)) if router.stream is None else []
+        for output in [*said, *router.acknowledge(by_router(now_us))]:
+            if isinstance(output, Connect):
+                source.heard_from_follower(0, output.join, by_source(now_us))
+            elif isinstance(output, Send) and isinstance(output.message, Progress):
+                source.heard_from_follower(0, output.message, by_source(now_us))
+        for output in source.send_to(0, by_source(now_us)):
+            if isinstance(output, Send) and isinstance(output.message, ToFollower):
+                router.heard_from_relay(0, output.message, by_router(now_us))
+    began_us = now_us
+    while router.copy_age_limit(by_router(now_us)) == 0:
+        (status,) = source.fanout.status(by_source(now_us))
+        if not status.counts:
+            raise RuleBroken(f"watermark: leased after {now_us - began_us} us, and not counted")
+        now_us += STEP_US
+    return now_us - began_us
+
+
+if __name__ == "__main__":
+    unittest.main()
