--- /dev/null
+++ b/magpieshift/lab/simulated/fanout_measures.py
@@ -0,0 +1,73 @@
+"""What can be said of a simulated fan-out tier from outside: whether it is as it should be, whether it has
+grown beyond its bounds, and what its messages weigh."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magpieshift.lab.simulated.fanout_judge import RuleBroken
+from magpieshift.lab.simulated.fanout_network import Host
+from magpieshift.lab.simulated.fanout_processes import Following, Message, Relay, Source
+from magpieshift.relay import limits
+from magpieshift.relay.messages import Batch, Purge, Snapshot
+
+if TYPE_CHECKING:
+    from magpieshift.lab.simulated.fanout import World
+
+PURGE_BYTES, MESSAGE_BYTES = 28, 40  # estimates of what a purge and a message cost on the wire
+MOST_UNREAD = 3 * limits.WINDOW_BATCHES  # messages on their way to a follower: its window, and heartbeats
+
+
+def settled(world: World) -> str:
+    """What is not yet as it should be once all is quiet; empty if all is. A source that nobody follows,
+    as another has them all, may be left over."""
+    missing = [_settled_at(world, host, source) for host, source in world.sources()]
+    return "" if "" in missing else missing[-1] if missing else "no source lives"
+
+
+def _settled_at(world: World, host: Host, source: Source) -> str:
+    head, epoch = source.log.head, source.log.epoch
+    for other in world.network.hosts.values():
+        if isinstance(other.process, Following):
+            follower = other.process.follower
+            if (follower.epoch, follower.applied) != (epoch, head):
+                return f"{other.name} is at {follower.applied} of {follower.epoch}, not {head} of {epoch}"
+            if not follower.currency.lease_held(other.now_us()):
+                return f"{other.name} holds no lease"
+    done = source.fanout.done(host.now_us())
+    return "" if done == head else f"{done} of {head} entries are done"
+
+
+def check_bounds(world: World) -> None:
+    """Nothing has grown beyond its bound."""
+    followers = len(world.ranked)
+    for host in world.network.hosts.values():
+        process = host.process
+        if isinstance(process, Source | Relay):
+            if process.log.head - process.log.first + 1 > world.form.log_entries:
+                raise RuleBroken(f"bounds: the log of {host.name}")
+            statuses = process.fanout.status(host.now_us())
+            # who holds no lease keeps a place only as long as its stream, or until the next look
+            idle = sum(1 for status in statuses if not status.counts)
+            if idle > 2 * followers:
+                raise RuleBroken(f"bounds: {idle} idle places at {host.name}")
+    for stream in world.network.streams.values():
+        unread = stream.unread(stream.server)
+        if unread > MOST_UNREAD:
+            raise RuleBroken(f"bounds: {unread} messages to {stream.client.name}")
+
+
+def estimated_bytes(message: Message) -> int:
+    """About what a message takes on the wire."""
+    entries = message.entries if isinstance(message, Batch) else ()
+    if isinstance(message, Snapshot):
+        whole = message.configuration
+        entries = message.purges
+        return (
+            MESSAGE_BYTES
+            + len(message.stores)
+            + PURGE_BYTES * len(entries)
+            + (len(whole.content) if whole else 0)
+        )
+    rest = sum(PURGE_BYTES if isinstance(entry, Purge) else len(repr(entry)) for entry in entries)
+    return MESSAGE_BYTES + rest
