--- a/magpieshift/lab/experiments/versions.py
+++ b/magpieshift/lab/experiments/versions.py
@@ -23,14 +23,12 @@
 
 import click
 
-from magpieshift.app import expected
 from magpieshift.control import sexp
-from magpieshift.control.ledger import PASSING, Reason
 from magpieshift.control.publisher import Published, Subscriber
-from magpieshift.control.schema import Loaded, load_data
+from magpieshift.control.schema import load_data
 from magpieshift.control.service import ControlService, Stream
-from magpieshift.control.session import running_digests
 from magpieshift.control.wire import control_pb2 as wire
+from magpieshift.lab.experiments.version_checks import VersionChecks
 from magpieshift.lab.experiments.version_maker import VersionMaker
 from magpieshift.lab.experiments.version_report import Report
 from magpieshift.lab.standins import peers
@@ -67,92 +65,23 @@
         self.report = Report()
         self._service = ControlService()
         self._service.heard = self._heard
-        self._documents: dict[int, Loaded] = {}  # every usable version sent, and the start as 0
-        self._acknowledged = 0
+        self._checks = VersionChecks(self.report)
         self._process: asyncio.subprocess.Process | None = None
         self._killing = False
         self._stream: Stream | None = None  # the router's, once it has said hello
         self._hello = asyncio.Event()
-        self._answered = asyncio.Event()
-        self._open: dict[str, tuple[int, bool]] = {}  # nonce: number, and whether it is usable
-        self._malformed_open = 0
 
     # --- what the router says
 
     def _heard(self, stream: Stream, data: bytes) -> None:
         message = wire.FromRouter.FromString(data)
         if message.WhichOneof("said") == "hello":
-            self._settle_lost()
-            self._check(message.hello.in_force, message.hello.digest, dict(message.hello.running), "hello")
-            if (nonce := stream.subscriber.nonce) and message.hello.in_force != self._service_newest():
-                self._open[nonce] = (stream.subscriber.sent, True)
+            newest = self._service.publisher.newest
+            self._checks.hello(message.hello, stream.subscriber, newest.number if newest is not None else 0)
             self._stream = stream
             self._hello.set()
         else:
-            self._answer(message.answer)
-
-    def _service_newest(self) -> int:
-        newest = self._service.publisher.newest
-        return newest.number if newest is not None else 0
-
-    def _settle_lost(self) -> None:
-        """A new stream: what was open on the old one will not be answered any more."""
-        self.report.unanswered += len(self._open) + self._malformed_open
-        self._open.clear()
-        self._malformed_open = 0
-        self._answered.set()
-
-    def _answer(self, answer: wire.Answer) -> None:
-        where = f"answer to {answer.number}"
-        self._check(answer.in_force, answer.in_force_digest, dict(answer.running), where)
-        if answer.number == 0:
-            self.report.rejected += 1
-            self._malformed_open = max(0, self._malformed_open - 1)
-        else:
-            number, usable = self._open.pop(answer.nonce, (0, None))
-            reason = Reason(answer.reason)
-            if answer.accepted:
-                self.report.accepted += 1
-                self._acknowledged = max(self._acknowledged, answer.in_force)
-                if usable is not True or answer.in_force != number:
-                    self._mismatch(f"{where}: accepted, in force {answer.in_force}, usable {usable}")
-                if answer.apply_us:
-                    self.report.apply_us.record_value(max(1, answer.apply_us))
-                    self.report.pause_us.record_value(max(1, answer.pause_us))
-            else:
-                self.report.rejected += 1
-                if usable and reason not in PASSING:
-                    self._mismatch(
-                        f"{where}: a usable version was turned down: {reason.name} {answer.detail}"
-                    )
-                if usable is False and reason in PASSING - {
-                    Reason.PART,
-                    Reason.WRONG_BASE,
-                    Reason.SUPERSEDED,
-                }:
-                    self._mismatch(f"{where}: turned down for another reason: {reason.name} {answer.detail}")
-        if answer.want_full and self._stream is not None and self._stream.subscriber.nonce:
-            self._open[self._stream.subscriber.nonce] = (self._stream.subscriber.sent, True)
-        self._answered.set()
-
-    def _check(self, number: int, digest: str, running: dict[str, str], where: str) -> None:
-        """The version in force is one that was sent, is not behind what was acknowledged, and is whole."""
-        loaded = self._documents.get(number)
-        if loaded is None or loaded.digest != digest:
-            return self._mismatch(f"{where}: in force is {number} {digest[:8]}, which was never sent so")
-        if number < self._acknowledged:
-            self._mismatch(f"{where}: in force is {number}, acknowledged was {self._acknowledged}")
-        self._acknowledged = max(self._acknowledged, number)
-        wanted = running_digests(expected(loaded.document))
-        wrong = sorted(part for part in wanted if running.get(part) != wanted[part])
-        if wrong:
-            self.report.half_applied += 1
-            self.report.findings.append(f"{where}: version {number} is not what runs in {', '.join(wrong)}")
-        return None
-
-    def _mismatch(self, text: str) -> None:
-        self.report.mismatches += 1
-        self.report.findings.append(text)
+            self._checks.answer(message.answer, self._stream.subscriber if self._stream else None)
 
     # --- what is done to it
 
@@ -167,7 +96,7 @@
             async with asyncio.timeout(PATIENCE_S):
                 await event.wait()
         except TimeoutError:
-            raise RuntimeError(f"waited {PATIENCE_S} s for {what}; open: {self._open}") from None
+            raise RuntimeError(f"waited {PATIENCE_S} s for {what}; open: {self._checks.open}") from None
 
     async def _kill(self, command: Sequence[str]) -> None:
         assert self._process is not None
@@ -187,18 +116,19 @@
         await self._wait(self._hello, "the router's return")
 
     async def _all_answered(self) -> None:
-        while self._open or self._malformed_open:
-            self._answered.clear()
-            await self._wait(self._answered, "an answer")
+        while not self._checks.all_answered:
+            self._checks.answered.clear()
+            await self._wait(self._checks.answered, "an answer")
 
     def _send_usable(self, version: Published) -> None:
-        self._documents[version.number] = replace(load_data(version.data or {}), version=version.number)
-        for number in sorted(self._documents)[:-400]:  # nothing so old can be in force any more
-            if number < self._acknowledged:
-                del self._documents[number]
+        self._know(version)
         self._service.publish(version)
-        if self._stream is not None and (nonce := self._stream.subscriber.nonce):
-            self._open[nonce] = (version.number, True)
+        if self._stream is not None:
+            self._checks.await_answer(self._stream.subscriber, version.number, True)
+
+    def _know(self, version: Published) -> None:
+        loaded = load_data(version.data or {})
+        self._checks.know(version.number, replace(loaded, version=version.number))
 
     def _send_unusable(self, versions: VersionMaker) -> str:
         """Send one that must be turned down; in what way."""
@@ -226,7 +156,7 @@
         # a delta would repair the digest or fail otherwise; the way is meant to be the reason
         sender = Subscriber(digest="")
         self._stream.send(publisher.send(sender, version, whole=True))
-        self._open[sender.nonce] = (version.number, False)
+        self._checks.await_answer(sender, version.number, False)
         return way
 
     def _send_malformed(self, way: str, version: Published) -> None:
@@ -236,18 +166,18 @@
         whole = self._service.publisher.send(replace(stream.subscriber), version, whole=True)
         cut = whole[: rand.randrange(1, len(whole) - 1)]
         stream.send({"noise": b"\xff" + rand.randbytes(40), "truncated": cut, "empty": b"\x12\x00"}[way])
-        self._malformed_open += 1
+        self._checks.malformed_open += 1
 
     def _send_unknown_base(self, version: Published) -> None:
         """A delta against what the router never had: turned down, and then sent whole."""
         assert self._stream is not None
         who, publisher = self._stream.subscriber, self._service.publisher
-        self._documents[version.number] = replace(load_data(version.data or {}), version=version.number)
+        self._know(version)
         publisher.publish(version)
         message = wire.FromControl.FromString(publisher.send(who, version))
         message.version.ClearField("full")
         message.version.delta.base_digest = "f" * 32
-        self._open[who.nonce] = (version.number, True)
+        self._checks.await_answer(who, version.number, True)
         self._stream.send(message.SerializeToString())
 
     async def _send_too_large(self) -> None:
@@ -268,7 +198,7 @@
         await world.start(plan.members)
         versions = VersionMaker(world.settings(), rand)
         start = world.write_settings(folder)
-        self._documents[0] = load_data(versions.data)
+        self._checks.know(0, load_data(versions.data))
         await self._service.start("127.0.0.1:0")
         command = [
             *plan.program, "run", "--config", str(start), "--state", str(folder / "state"),
@@ -344,8 +274,10 @@
         """The last version is in force, and a planned end is one."""
         assert self._process is not None
         newest = self._service.publisher.newest
-        if newest is not None and self._acknowledged != newest.number:
-            self._mismatch(f"at the end {self._acknowledged} is in force, the newest is {newest.number}")
+        if newest is not None and self._checks.acknowledged != newest.number:
+            self._checks.mismatch(
+                f"at the end {self._checks.acknowledged} is in force, the newest is {newest.number}"
+            )
         self._process.terminate()
         code = await asyncio.wait_for(self._process.wait(), PATIENCE_S)
         if code != 0:
