Measure what purges and decisions cost by size, fit it, and hold it against budgets

The issue's figures at target had no program behind them. lab capacity measures roles in turns over sizes, fits a power law with an intercept (profile-likelihood interval of the exponent), and says by a prediction from the sizes up to half whether the fit can be believed beyond what was measured.

--- /dev/null
+++ b/magpieshift/cli/capacity.py
@@ -0,0 +1,69 @@
+"""The command that measures what each role costs by what grows."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+
+from magpieshift.cli.hinting import JSON
+from magpieshift.config import ConfigError
+
+EPILOG = """\b
+Examples:
+  magpieshift lab capacity --quick
+  magpieshift lab capacity --json --role 'router: purges'
+  magpieshift lab capacity --json --save docs/capacity/after.json
+"""
+SHOWN = (
+    "role", "resource", "by", "unit", "measured_to", "at_half", "at_target", "at_twice", "budget", "ratio",
+    "exponent", "interval", "prediction_error", "how",
+)  # fmt: skip
+
+
+@click.command(epilog=EPILOG)
+@click.option("--role", "names", multiple=True, help="Only this role; may be given more than once.")
+@click.option("--list", "listing", is_flag=True, help="Name the roles, and measure nothing.")
+@click.option("--quick", is_flag=True, help="Fewer sizes, once each: a trial, not a result.")
+@click.option("--seed", default=1, show_default=True, help="Of the order of turns and of what is told.")
+@click.option("--router", "folder", default="", help="Folder of another checkout, whose router is started.")
+@click.option("--save", default="", help="File for the result.")
+@JSON
+def capacity(
+    names: tuple[str, ...], listing: bool, quick: bool, seed: int, folder: str, save: str, as_json: bool
+) -> None:
+    """Measure what each role costs by what grows with the fleet, fit it, and hold it against its budget."""
+    from magpieshift.cli import show
+    from magpieshift.lab.capacity import measure, results
+    from magpieshift.lab.capacity.roles import every_role
+    from magpieshift.lab.capacity.routers import HERE
+
+    if folder and not (Path(folder) / "magpieshift" / "__main__.py").is_file():
+        raise ConfigError(f"--router: found {folder!r}, expected the folder of a checkout")
+    if save and not Path(save).resolve().parent.is_dir():
+        raise ConfigError(f"--save: found {save!r}, expected a file in a folder that exists")
+    roles = every_role(folder or HERE)
+    known = sorted({role.name for role in roles})
+    if unknown := sorted(set(names) - set(known)):
+        raise ConfigError(f"--role: found {unknown[0]!r}, expected one of: {', '.join(known)}")
+    if listing:
+        return show.rows([{"role": r.name, "by": r.by, "target": r.target} for r in roles], as_json)
+    chosen = [role for role in roles if not names or role.name in names]
+    began = time.monotonic()
+    samples = measure.take_turns(chosen, seed, quick, measure.on_terminal)
+    measure.on_terminal("")
+    rows = [row for place, role in enumerate(chosen) for row in measure.rows(role, samples[place])]
+    command = " ".join(["magpieshift lab capacity --json", *(f"--role {n!r}" for n in names)])
+    command += f" --seed {seed}" + (" --quick" if quick else "") + (" --router FOLDER" if folder else "")
+    if save:
+        result = results.Result(
+            results.origin(command, folder or HERE, seed, time.monotonic() - began), tuple(rows)
+        )
+        results.save(result, save)
+    if as_json:
+        click.echo(json.dumps([asdict(row) for row in rows]))
+    else:
+        show.rows([{name: asdict(row)[name] for name in SHOWN} for row in results.ranked(rows)], False)
--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -7,6 +7,7 @@
 
 import click
 
+from magpieshift.cli import capacity as capacity_command
 from magpieshift.cli import captures, configuration, laboratory, relays, rollouts, router, service
 from magpieshift.cli import fleet as fleet_commands
 from magpieshift.cli.errors import PROGRAM, guarded
@@ -44,6 +45,7 @@
 cli.add_command(captures.capture)
 cli.add_command(captures.replay)
 
+lab.add_command(capacity_command.capacity)
 lab.add_command(laboratory.versions)
 lab.add_command(laboratory.apply_)
 lab.add_command(laboratory.cost)
--- a/magpieshift/lab/capacity/__init__.py
+++ b/magpieshift/lab/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""What each role costs by each thing that grows, fitted, and the tables of docs/CAPACITY.md."""
+"""What each role of a fleet costs by what grows: measured, fitted, and held against its budget."""
--- /dev/null
+++ b/magpieshift/lab/capacity/fit.py
@@ -0,0 +1,130 @@
+"""Fits cost against size by a power law with an intercept, ``y = intercept + slope * x ** exponent``.
+
+Residuals are relative: each measurement is weighted by one over its value, since noise grows with the
+cost. Costs don't go below zero, so neither intercept nor slope does. The interval of the exponent is that of
+the profile likelihood: all exponents under which the residuals are not significantly larger than under the
+best.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+Floats = NDArray[np.float64]
+
+EXPONENTS = np.arange(0.02, 3.0 + 1e-9, 0.02)
+LEAST_SIZES = 3  # as many as the law has parameters
+NORMAL_QUANTILE = 1.96  # two-sided 95%
+LEAST_RESIDUAL = 1e-9  # relative; below it a fit is exact
+SUPERLINEAR_FROM = 1.1
+"""Growth is called superlinear where the exponent's interval lies above this: by a factor of ten in size, an
+exponent of 1.1 adds a quarter to a linear forecast, which is the error that a forecast may have."""
+
+
+class UnfitError(ValueError):
+    """There are too few sizes for a fit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One measurement: ``cost`` of a role at a ``size``."""
+
+    size: float
+    cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """A fitted law. ``exponent`` is 1 wherever its interval contains 1, as of all laws that the measurements
+    allow the linear one is the simplest; ``interval`` is that of the exponent at 95%."""
+
+    intercept: float
+    slope: float
+    exponent: float
+    interval: tuple[float, float]
+
+    def at(self, size: float) -> float:
+        """The cost at a size."""
+        return float(self.intercept + self.slope * size**self.exponent)
+
+    @property
+    def superlinear(self) -> bool:
+        """Whether the cost grows faster than the size."""
+        return self.interval[0] > SUPERLINEAR_FROM
+
+
+@dataclass(frozen=True, slots=True)
+class _Law:
+    """The least-squares law under one exponent, and the sum of its squared relative residuals."""
+
+    intercept: float
+    slope: float
+    residual: float
+
+
+def fit(points: Sequence[Point]) -> Fit:
+    """The law of these measurements; ``UnfitError`` with less than ``LEAST_SIZES`` sizes."""
+    if len({point.size for point in points}) < LEAST_SIZES:
+        raise UnfitError(f"found {len({p.size for p in points})} sizes, expected at least {LEAST_SIZES}")
+    sizes = np.array([point.size for point in points])
+    costs = np.array([point.cost for point in points])
+    if not np.any(costs):
+        return Fit(0.0, 0.0, 1.0, (float(EXPONENTS[0]), float(EXPONENTS[-1])))
+    laws = {float(exponent): _law(sizes, costs, float(exponent)) for exponent in EXPONENTS}
+    interval = _interval(laws, len(points))
+    best = min(laws, key=lambda exponent: laws[exponent].residual)
+    if interval[0] <= 1.0 <= interval[1]:
+        best = min(laws, key=lambda exponent: abs(exponent - 1.0))
+    law = laws[best]
+    return Fit(law.intercept, law.slope, round(best, 2), interval)
+
+
+def _law(sizes: Floats, costs: Floats, exponent: float) -> _Law:
+    """Weighted least squares with both parameters at least zero."""
+    weights = 1.0 / np.maximum(np.abs(costs), 1e-3 * np.abs(costs).max())
+    target = costs * weights
+    constant, growth = weights, sizes**exponent * weights
+    (intercept, slope), *_ = np.linalg.lstsq(np.column_stack([constant, growth]), target, rcond=None)
+    if intercept < 0:
+        intercept, slope = 0.0, max(0.0, float(growth @ target) / float(growth @ growth))
+    elif slope < 0:
+        intercept, slope = max(0.0, float(constant @ target) / float(constant @ constant)), 0.0
+    left = target - intercept * constant - slope * growth
+    return _Law(float(intercept), float(slope), float(left @ left))
+
+
+def _interval(laws: Mapping[float, _Law], points: int) -> tuple[float, float]:
+    """The exponents whose residual is within what chance adds to the least one."""
+    freedom = max(1, points - LEAST_SIZES)
+    least = max(min(law.residual for law in laws.values()), points * LEAST_RESIDUAL**2)
+    bound = least * (1.0 + _student_quantile(freedom) ** 2 / freedom)
+    within = [exponent for exponent, law in laws.items() if law.residual <= bound]
+    return round(min(within), 2), round(max(within), 2)
+
+
+def _student_quantile(freedom: int) -> float:
+    """The two-sided 95% quantile of Student's distribution (Cornish-Fisher expansion, within 2% from three
+    degrees of freedom on)."""
+    z = NORMAL_QUANTILE
+    first = (z**3 + z) / 4
+    second = (5 * z**5 + 16 * z**3 + 3 * z) / 96
+    return z + first / freedom + second / freedom**2
+
+
+def prediction_error(points: Sequence[Point]) -> float:
+    """How far a fit on the sizes up to half of the largest is from the cost measured at the largest, as a
+    part of that cost; infinite where there are too few sizes up to half, or the cost there is zero."""
+    largest = max(point.size for point in points)
+    measured = float(np.median([point.cost for point in points if point.size == largest]))
+    try:
+        predicted = fit([point for point in points if point.size <= largest / 2]).at(largest)
+    except UnfitError:
+        return math.inf
+    if not measured:
+        return math.inf if predicted else 0.0
+    return abs(predicted - measured) / abs(measured)
--- /dev/null
+++ b/magpieshift/lab/capacity/measure.py
@@ -0,0 +1,128 @@
+"""Measures roles in turns over their sizes, and works out a row for each role and resource."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from magpieshift.lab.capacity.fit import Fit, Point, UnfitError, fit, prediction_error
+from magpieshift.lab.capacity.role import Resource, Role, Sample
+
+MOST_ERROR = 0.25  # of a prediction; above it nothing is extrapolated
+MEASURED, FITTED, SIMULATED = "measured", "fitted", "simulated"
+UNMEASURED = "unmeasured at target"
+
+Progress = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What one resource of one role costs; costs in ``unit``, None where nothing can be said."""
+
+    role: str
+    resource: str
+    by: str
+    unit: str
+    target: float
+    measured_to: float
+    at_half: float | None
+    at_target: float | None
+    at_twice: float | None
+    budget: float | None
+    derivation: str
+    ratio: float | None  # at the target, to the budget
+    intercept: float | None
+    slope: float | None
+    exponent: float | None
+    interval: tuple[float, float] | None
+    superlinear: bool
+    prediction_error: float | None  # None where too few sizes were measured for a prediction
+    how: str  # MEASURED, FITTED, SIMULATED or UNMEASURED, at the target
+    measurements: int
+    command: str
+
+
+def take_turns(roles: Sequence[Role], seed: int, quick: bool, progress: Progress) -> dict[int, list[Sample]]:
+    """Samples by a role's place in the list: every round measures every size of every role once, in an order
+    drawn from the seed, so that a slow minute of the machine strikes all alike."""
+    draw = random.Random(seed)
+    found: dict[int, list[Sample]] = {place: [] for place in range(len(roles))}
+    rounds = 1 if quick else max(role.repeats for role in roles)
+    for round_ in range(rounds):
+        turns = [
+            (place, size)
+            for place, role in enumerate(roles)
+            if quick or round_ < role.repeats
+            for size in (role.quick_sizes if quick else role.sizes)
+        ]
+        draw.shuffle(turns)
+        for place, size in turns:
+            progress(f"round {round_ + 1} of {rounds}: {roles[place].name} at {size:g} {roles[place].by}")
+            found[place].append(roles[place].measure(size, draw.getrandbits(32)))
+    return found
+
+
+def on_terminal(line: str) -> None:
+    """A progress line, where somebody looks."""
+    if sys.stderr.isatty():
+        print(f"\r\x1b[K{line}", end="", file=sys.stderr, flush=True)
+
+
+def rows(role: Role, samples: Sequence[Sample]) -> list[Row]:
+    """A row for each resource of a role."""
+    return [row(role, resource, samples) for resource in role.resources]
+
+
+def row(role: Role, resource: Resource, samples: Sequence[Sample]) -> Row:
+    """What these samples say of one resource."""
+    points = [Point(sample.size, sample.costs[resource.name]) for sample in samples]
+    law = _law(points)
+    error = prediction_error(points)
+    trusted = law if error <= MOST_ERROR else None
+    at_half, at_target, at_twice = (_cost(points, trusted, role.target * part) for part in (0.5, 1.0, 2.0))
+    budget = resource.budget
+    ratio = at_target / budget.limit if budget is not None and at_target is not None else None
+    return Row(
+        role=role.name, resource=resource.name, by=role.by, unit=resource.unit, target=role.target,
+        measured_to=max(point.size for point in points), at_half=_figures(at_half),
+        at_target=_figures(at_target), at_twice=_figures(at_twice),
+        budget=_figures(budget.limit) if budget is not None else None,
+        derivation=budget.derivation if budget is not None else "", ratio=_figures(ratio),
+        intercept=_figures(law.intercept) if law else None, slope=_figures(law.slope) if law else None,
+        exponent=law.exponent if law else None, interval=law.interval if law else None,
+        superlinear=law.superlinear if law else False,
+        prediction_error=_figures(error) if error != float("inf") else None,
+        how=_how(role, points, at_target), measurements=len(points),
+        command=f"magpieshift lab capacity --json --role '{role.name}'",
+    )  # fmt: skip
+
+
+def _law(points: Sequence[Point]) -> Fit | None:
+    try:
+        return fit(points)
+    except UnfitError:
+        return None
+
+
+def _cost(points: Sequence[Point], law: Fit | None, size: float) -> float | None:
+    """The cost at a size: the median where it was measured, by the law where one is trusted."""
+    there = [point.cost for point in points if point.size == size]
+    if there:
+        return statistics.median(there)
+    return law.at(size) if law is not None else None
+
+
+def _how(role: Role, points: Sequence[Point], at_target: float | None) -> str:
+    if at_target is None:
+        return UNMEASURED
+    if role.simulated:
+        return SIMULATED
+    return MEASURED if any(point.size == role.target for point in points) else FITTED
+
+
+def _figures(value: float | None) -> float | None:
+    """Three significant digits: no measurement here is better."""
+    return float(f"{value:.3g}") if value is not None else None
--- /dev/null
+++ b/magpieshift/lab/capacity/results.py
@@ -0,0 +1,96 @@
+"""Results as they are saved: the rows, and which code, machine and seed they come from."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import platform
+import subprocess
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, fields
+from pathlib import Path
+from typing import Any
+
+from magpieshift.config import ConfigError
+from magpieshift.lab.capacity.measure import Row
+
+UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a result comes from."""
+
+    command: str
+    commit: str  # of the router that was measured
+    seed: int
+    date: str  # UTC
+    cores: int
+    python: str
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """A run of all roles that were asked for."""
+
+    origin: Origin
+    rows: tuple[Row, ...]
+
+    def text(self) -> str:
+        """As JSON, a row a line, so that a difference between two results is read by the line."""
+        rows = ",\n".join("  " + json.dumps(asdict(row)) for row in self.rows)
+        return f'{{"origin": {json.dumps(asdict(self.origin))},\n"rows": [\n{rows}\n]}}\n'
+
+
+def origin(command: str, folder: str, seed: int, took_s: float) -> Origin:
+    """The origin of a run that measured the router in this folder."""
+    now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+    cores = os.cpu_count() or 0
+    return Origin(command, _commit(folder), seed, now, cores, platform.python_version(), round(took_s, 1))
+
+
+def _commit(folder: str) -> str:
+    """The commit of a checkout, with a mark where files differ from it."""
+    try:
+        found = subprocess.run(
+            ["git", "-C", folder, "describe", "--always", "--abbrev=7", "--dirty"],
+            capture_output=True, text=True, timeout=10, check=True,
+        )  # fmt: skip
+    except (OSError, subprocess.SubprocessError):
+        return UNKNOWN
+    return found.stdout.strip()
+
+
+def save(result: Result, path: str) -> None:
+    """Write a result; ``ConfigError`` where that cannot be."""
+    try:
+        Path(path).write_text(result.text(), encoding="utf-8")
+    except OSError as err:
+        raise ConfigError(f"{path} cannot be written: {err.strerror or err}") from err
+
+
+def load(path: Path) -> Result:
+    """Read a result; ``ConfigError`` where it is none."""
+    try:
+        data = json.loads(path.read_text(encoding="utf-8"))
+        rows = tuple(_row(row) for row in data["rows"])
+        return Result(Origin(**data["origin"]), rows)
+    except OSError as err:
+        raise ConfigError(f"{path} cannot be read: {err.strerror or err}") from err
+    except (ValueError, TypeError, KeyError) as err:
+        raise ConfigError(f"{path}: found {type(err).__name__}: {err}, expected a capacity result") from err
+
+
+def _row(data: dict[str, Any]) -> Row:
+    wanted = {field.name for field in fields(Row)}
+    if set(data) != wanted:
+        raise ValueError(f"a row with {sorted(set(data) ^ wanted)} amiss")
+    interval = data["interval"]
+    return Row(**(data | {"interval": tuple(interval) if interval is not None else None}))
+
+
+def ranked(rows: Sequence[Row]) -> list[Row]:
+    """By ratio to budget, the largest first; rows without one after them."""
+    return sorted(rows, key=lambda row: (row.ratio is None, -(row.ratio or 0.0), row.role, row.resource))
--- /dev/null
+++ b/magpieshift/lab/capacity/roles/decisions.py
@@ -0,0 +1,38 @@
+"""Router, data path: the decisions of a request by the caches of the zone, without sockets."""
+
+from __future__ import annotations
+
+from magpieshift.lab.capacity import target
+from magpieshift.lab.capacity.processor import spending
+from magpieshift.lab.capacity.role import Budget, Resource, Sample
+from magpieshift.lab.experiments.decisions import OPEN, Run
+
+REQUESTS = 400
+HALF_CORE_US = 0.5e6 / target.REQUESTS_PER_ROUTER_S
+BUDGET = Budget(
+    HALF_CORE_US / 2,
+    f"half of a core for {target.REQUESTS_PER_ROUTER_S:.0f} requests a second (the mean is not the most), and"
+    " half of that for decisions",
+)
+
+
+class Decisions:
+    """One hit, or one miss and its fill, a request."""
+
+    name = "router: decisions"
+    by = "caches in the zone"
+    target = float(target.CACHES_PER_ZONE)
+    sizes = (4.0, 10.0, 21.0, 42.0, 84.0, 160.0, 400.0)
+    quick_sizes = (4.0, 21.0, 42.0, 100.0)
+    repeats = 3
+    simulated = False
+    resources = (Resource("processor", "us a request", BUDGET),)
+
+    def measure(self, size: float, seed: int) -> Sample:
+        run = Run(int(size), seed)
+        for _ in range(2 * OPEN):
+            run.request()
+        with spending() as spent:
+            for _ in range(REQUESTS):
+                run.request()
+        return Sample(size, {"processor": 1e6 * spent.seconds / REQUESTS})
--- /dev/null
+++ b/magpieshift/lab/capacity/routers.py
@@ -0,0 +1,110 @@
+"""A started router between stand-ins, for roles that measure a whole process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from magpieshift.lab.capacity.processor import processor_s, resident_mb
+from magpieshift.lab.experiments.cost import Variant, started
+from magpieshift.lab.standins import peers
+from magpieshift.lab.standins.world import World
+
+HERE = str(Path(__file__).resolve().parents[3])
+CAUGHT_UP_S = 60.0
+POLL_S = 0.02
+
+
+class CountingLog(peers.Log):
+    """The stand-in change log, which counts the bytes it writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = 0
+        self.told = 0
+
+    def tell(self, **event: object) -> None:
+        super().tell(**event)
+        self.told += 1
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await super()._serve(reader, CountingWriter(writer, self))  # type: ignore[arg-type]
+
+
+class CountingWriter:
+    """A stream writer that adds what is written to a log's count."""
+
+    def __init__(self, writer: asyncio.StreamWriter, log: CountingLog) -> None:
+        self._writer, self._log = writer, log
+
+    def write(self, data: bytes) -> None:
+        self._log.written += len(data)
+        self._writer.write(data)
+
+    async def drain(self) -> None:
+        await self._writer.drain()
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class CountedWorld(World):
+    """Stand-ins round a router, with a change log that counts."""
+
+    log: CountingLog
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = CountingLog()
+
+    def purge(self, draw: random.Random, made_s: float) -> None:
+        """Tell one purge of an object drawn from all 64-bit ids, made at this Unix time."""
+        self.log.tell(invalidate={"object": f"{draw.getrandbits(64):016x}", "time": int(made_s * 1000)})
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What the kernel and the stand-ins have counted of a router so far."""
+
+    processor_s: float
+    memory_mb: float
+    log_bytes: int
+    at_s: float  # steady clock
+
+
+class Ready:
+    """A router that serves, and its world."""
+
+    def __init__(self, world: CountedWorld, pid: int, log: Path) -> None:
+        self.world, self.pid, self._log = world, pid, log
+
+    def read(self) -> Reading:
+        """The counts now."""
+        return Reading(processor_s(self.pid), resident_mb(self.pid), self.world.log.written, time.monotonic())
+
+    async def caught_up(self) -> None:
+        """Wait until the router has applied all that its change log told; ``TimeoutError`` where it does
+        not."""
+        last = f"seq={self.world.log.told}"
+        async with asyncio.timeout(CAUGHT_UP_S):
+            while last not in self._log.read_text().split():
+                await asyncio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def ready_router(folder: str = HERE, members: int = 1) -> AsyncIterator[Ready]:
+    """The router of a checkout, started as the platform does, beside a list of so many caches."""
+    world = CountedWorld()
+    await world.start(members)
+    try:
+        async with started(Variant("router", folder), world) as (process, log):
+            ready = Ready(world, process.pid, log)
+            await ready.caught_up()
+            yield ready
+    finally:
+        world.stop()
