--- a/magpieshift/lab/capacity/roles/membership.py
+++ b/magpieshift/lab/capacity/roles/membership.py
@@ -28,7 +28,7 @@
     target = float(fleet.ROUTERS_PER_ZONE)
     sizes = (13.0, 25.0, 50.0, 100.0, 200.0)
     quick_sizes = (7.0, 13.0, 25.0, 50.0)
-    repeats = 2
+    repeats = 1
     simulated = True
     resources = (
         Resource("processor", "% of a core", Budget(fleet.CONTROL_CPU_PERCENT, ALL_CONTROL)),
--- a/magpieshift/lab/capacity/routers.py
+++ b/magpieshift/lab/capacity/routers.py
@@ -18,6 +18,8 @@
 HERE = str(Path(__file__).resolve().parents[3])
 CAUGHT_UP_S = 60.0
 POLL_S = 0.02
+TRIES = 4
+PORT_TAKEN = "Address already in use"
 
 
 class CountingLog(peers.Log):
@@ -99,12 +101,23 @@
 @contextlib.asynccontextmanager
 async def ready_router(folder: str = HERE, members: int = 1) -> AsyncIterator[Ready]:
     """The router of a checkout, started as the platform does, beside a list of so many caches."""
-    world = CountedWorld()
-    await world.start(members)
-    try:
-        async with started(Variant("router", folder), world) as (process, log):
-            ready = Ready(world, process.pid, log)
-            await ready.caught_up()
-            yield ready
-    finally:
-        world.stop()
+    async with contextlib.AsyncExitStack() as stack:
+        ready = await _come_up(stack, folder, members)
+        await ready.caught_up()
+        yield ready
+
+
+async def _come_up(stack: contextlib.AsyncExitStack, folder: str, members: int) -> Ready:
+    """A router that serves; another port is tried where somebody took the one that was free."""
+    for _ in range(TRIES):
+        world = CountedWorld()
+        stack.callback(world.stop)
+        await world.start(members)
+        try:
+            process, log = await stack.enter_async_context(started(Variant("router", folder), world))
+        except RuntimeError as err:
+            if PORT_TAKEN not in str(err):
+                raise
+        else:
+            return Ready(world, process.pid, log)
+    raise RuntimeError(f"no free port in {TRIES} tries")
