--- a/magpieshift/cli/capacity.py
+++ b/magpieshift/cli/capacity.py
@@ -31,16 +31,20 @@
 @click.option("--seed", default=1, show_default=True, help="Of the order of turns and of what is told.")
 @click.option("--router", "folder", default="", help="Folder of another checkout, whose router is started.")
 @click.option("--save", default="", help="File for the result.")
+@click.option("--page", "make_page", is_flag=True, help="Make docs/CAPACITY.md's tables from saved results.")
 @JSON
 def capacity(
-    names: tuple[str, ...], listing: bool, quick: bool, seed: int, folder: str, save: str, as_json: bool
-) -> None:
+    names: tuple[str, ...], listing: bool, quick: bool, seed: int, folder: str, save: str, make_page: bool,
+    as_json: bool,
+) -> None:  # fmt: skip
     """Measure what each role costs by what grows with the fleet, fit it, and hold it against its budget."""
     from magpieshift.cli import show
-    from magpieshift.lab.capacity import measure, results
+    from magpieshift.lab.capacity import measure, page, results
     from magpieshift.lab.capacity.roles import every_role
     from magpieshift.lab.capacity.routers import HERE
 
+    if make_page:
+        return click.echo("made anew" if page.rewrite() else "unchanged")
     if folder and not (Path(folder) / "magpieshift" / "__main__.py").is_file():
         raise ConfigError(f"--router: found {folder!r}, expected the folder of a checkout")
     if save and not Path(save).resolve().parent.is_dir():
--- /dev/null
+++ b/magpieshift/lab/capacity/arithmetic.py
@@ -0,0 +1,166 @@
+"""What follows from the fleet's size and the measured slopes: the data path, and what failures cost."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from magpieshift.feed.client import MOST_PAUSE_S, SILENCE_S
+from magpieshift.lab.capacity import fleet
+from magpieshift.lab.capacity.measure import Row
+from magpieshift.lab.capacity.results import Result
+from magpieshift.lab.capacity.tables import Results, number, table
+
+LARGEST_ANSWER = 240_000  # bytes: the largest object part that stores send, and the largest measured
+HOUR_S = 3_600
+ROUTERS_PER_SITE = fleet.ROUTERS / fleet.SITES
+UNMEASURED = "unmeasured"
+
+
+def find(result: Result, role: str, resource: str) -> Row | None:
+    """A row of a result."""
+    return next((row for row in result.rows if (row.role, row.resource) == (role, resource)), None)
+
+
+def data_path(results: Results) -> str:
+    """The mean of the peak at one router, and what one process carries of it."""
+    lines = [
+        f"- {fleet.REQUESTS_PER_S:,} requests a second over {fleet.ROUTERS:,} routers are"
+        f" {fleet.REQUESTS_PER_ROUTER_S:.0f} a second at the mean router.",
+        f"- {fleet.BITS_PER_S / 1e12:g} Tbit/s over {fleet.ROUTERS:,} routers are"
+        f" {fleet.BYTES_PER_ROUTER_S / 1e6:.0f} MB a second at the mean router:"
+        f" {fleet.BYTES_PER_REQUEST / 1e3:.0f} KB a request, so a request stands for"
+        f" {fleet.BYTES_PER_REQUEST / LARGEST_ANSWER:.1f} answers of the largest size,"
+        f" {LARGEST_ANSWER:,} bytes, and the router sees"
+        f" {fleet.BYTES_PER_ROUTER_S / LARGEST_ANSWER:,.0f} such answers a second.",
+    ]
+    lines += [line for name, result in results.items() if (line := _carried(name, result))]
+    return "\n".join(lines)
+
+
+def _carried(name: str, result: Result) -> str:
+    """What one process carries by one result; empty where that did not measure it."""
+    requests, answers = (
+        find(result, "router: requests", "processor"),
+        find(result, "router: bytes of an answer", "processor"),
+    )
+    if requests is None or answers is None or not requests.at_target or answers.slope is None:
+        return ""
+    request_us = 1e4 * requests.at_target / requests.target
+    byte_us = answers.slope if answers.exponent == 1 else None
+    if byte_us is None:
+        return f"- {name}: the cost of a byte did not come out linear, so nothing is said of bytes."
+    answer_us = request_us + byte_us * LARGEST_ANSWER
+    cores = fleet.BYTES_PER_ROUTER_S / LARGEST_ANSWER * answer_us / 1e6
+    return (
+        f"- {name}: {fleet.REQUESTS_PER_ROUTER_S:.0f} small requests a second take"
+        f" {number(requests.at_target)}% of a core ({requests.how}), {request_us:.0f} us each; a byte adds"
+        f" {1e3 * byte_us:.3g} ns (fitted, to {number(answers.measured_to)} bytes). An answer of the largest"
+        f" size then takes {answer_us:.0f} us (fitted), so one Python process, which has one core, carries at"
+        f" most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}% of the mean router's bytes."
+        f" It carries the mean rate of small requests; it does not carry the mean rate of bytes, for which"
+        f" {cores:.1f} cores would be needed, nor what sites busier than the mean ask for."
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """What fails, what that costs, what is promised meanwhile, and on what the cost rests."""
+
+    what: str
+    size: str
+    cost: str
+    promised: str
+    basis: str
+
+
+def failures(results: Results) -> str:
+    """What failures cost, by the newest result that has what it takes."""
+    rows = [
+        (each.what, each.size, each.cost, each.promised, each.basis)
+        for each in (*_of_routers(results), *_of_control(results))
+    ]
+    return table(("what fails", "size", "cost", "promised meanwhile", "basis"), rows)
+
+
+def _of_routers(results: Results) -> list[Failure]:
+    requests = _newest(results, "router: requests", "processor")
+    site, zone = ROUTERS_PER_SITE, fleet.ROUTERS_PER_ZONE
+    return [
+        Failure(
+            "a router's machine (7 a day)",
+            "1 router",
+            _more(requests, 1),
+            "clients' next request goes to another router; what it had in hand is lost with it",
+            "fitted",
+        ),
+        Failure(
+            "a rack or a switch (weekly)",
+            f"a site's {site:.0f} routers",
+            _more(requests, site),
+            "the same, where the site's clients reach another site",
+            "fitted; that a rack or switch is a whole site is assumed",
+        ),
+        Failure(
+            "a zone (a few times a year)",
+            f"{zone} routers, {fleet.CACHES_PER_ZONE} caches",
+            _more(requests, zone),
+            "the others go on; the zone's objects are filled anew from parents",
+            "fitted; the fills are unmeasured",
+        ),
+    ]
+
+
+def _of_control(results: Results) -> list[Failure]:
+    purges = _newest(results, "router: purges", "processor")
+    sent = _newest(results, "router: purges", "bytes")
+    return [
+        Failure(
+            "a region cut off for an hour, on the direct change log",
+            f"{fleet.ROUTERS // fleet.REGIONS} routers",
+            _catch_up(fleet.PURGES_PER_S * HOUR_S, purges, sent),
+            "its routers serve on; they don't know what was purged, and don't bound the age of copies",
+            "fitted",
+        ),
+        Failure(
+            "the change log's machine",
+            f"{fleet.ROUTERS:,} watches",
+            f"purges wait; all watches come back within {MOST_PAUSE_S:g} s of its return",
+            f"after {SILENCE_S:g} s of silence each router asks again; copies are not bounded meanwhile",
+            "assumed, from the constants in feed/client",
+        ),
+        Failure(
+            "a control service's machine",
+            f"{fleet.ROUTERS_PER_MACHINE} followers",
+            "no new versions there",
+            "routers run on what they keep on disk",
+            "assumed: no run of this size; tests/control has one router",
+        ),
+    ]
+
+
+def _newest(results: Results, role: str, resource: str) -> Row | None:
+    found = None
+    for result in results.values():
+        found = find(result, role, resource) or found
+    return found
+
+
+def _more(requests: Row | None, lost: float) -> str:
+    """What the routers that are left take on, if all of them share it."""
+    left = fleet.ROUTERS - lost
+    rate = fleet.REQUESTS_PER_S / left
+    text = f"{100 * lost / left:.2g}% more at each other router: {rate:.0f} requests a second"
+    if requests is None or requests.slope is None or requests.exponent is None:
+        return f"{text}; processor {UNMEASURED}"
+    added = requests.slope * (rate**requests.exponent - fleet.REQUESTS_PER_ROUTER_S**requests.exponent)
+    return f"{text}, {added:.2g} points of a core"
+
+
+def _catch_up(backlog: int, purges: Row | None, sent: Row | None) -> str:
+    """An hour's purges told to one router after the cut, as the direct log does: one by one."""
+    text = f"{backlog:,} purges each to take in"
+    if purges is None or sent is None or purges.slope is None or sent.at_target is None:
+        return f"{text}; {UNMEASURED}"
+    processor_s = backlog * purges.slope / 100
+    megabytes = sent.at_target * HOUR_S / 1e6
+    return f"{text}: {megabytes:.0f} MB and {processor_s:.0f} s of a core a router"
--- /dev/null
+++ b/magpieshift/lab/capacity/page.py
@@ -0,0 +1,88 @@
+"""The capacity page: its tables stand between markers and are made from the saved results.
+
+A marker is ``<!-- capacity NAME -->`` and ends with ``<!-- end -->``; NAME is one of ``SECTIONS``.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from magpieshift.config import ConfigError
+from magpieshift.lab.capacity import arithmetic, results, tables
+from magpieshift.lab.capacity.routers import HERE
+from magpieshift.lab.capacity.tables import Results
+
+PAGE = Path(HERE) / "docs" / "CAPACITY.md"
+SAVED = Path(HERE) / "docs" / "capacity"
+ORDER = ("as-it-stood", "before", "after")  # results by name of their file
+
+MARKED = re.compile(r"(<!-- capacity ([a-z-]+) -->\n)(.*?)(<!-- end -->)", re.DOTALL)
+
+ROLES: Mapping[str, tuple[str, ...]] = {
+    "data-path": (
+        "router: decisions",
+        "router: objects known",
+        "router: requests",
+        "router: bytes of an answer",
+    ),
+    "router-control": ("router: purges", "router: list of caches", "router: versions"),
+    "change-log": ("change-log source",),
+    "control-service": ("control service: followers", "control service: versions kept"),
+    "membership": ("membership",),
+    "digests": ("overload digests",),
+    "rollout": ("rollout: look", "rollout: judge's memory"),
+    "commands": ("operator's commands",),
+    "capture": ("capture",),
+}
+"""Sections with the tables of roles."""
+
+SECTIONS: Mapping[str, Callable[[Results], str]] = {
+    "origins": tables.origins,
+    "ranking": tables.ranking,
+    "superlinear": tables.superlinear,
+    "arithmetic": arithmetic.data_path,
+    "failures": arithmetic.failures,
+}
+
+
+def saved(folder: Path = SAVED) -> Results:
+    """The saved results by name; ``ConfigError`` where there are none or one cannot be read."""
+    found = {name: folder / f"{name}.json" for name in ORDER}
+    loaded = {name: results.load(path) for name, path in found.items() if path.is_file()}
+    if not loaded:
+        raise ConfigError(f"{folder}: found no results, expected one of {', '.join(ORDER)} (.json)")
+    return loaded
+
+
+def regenerated(text: str, found: Results) -> str:
+    """The page with all that stands between markers made anew; ``ConfigError`` where a section is unknown
+    or missing."""
+    names = [match[2] for match in MARKED.finditer(text)]
+    known = [*SECTIONS, *ROLES]
+    for name in known:
+        if names.count(name) != 1:
+            raise ConfigError(f"capacity page: found {names.count(name)} sections {name!r}, expected one")
+    if unknown := set(names) - set(known):
+        raise ConfigError(
+            f"capacity page: found section {min(unknown)!r}, expected one of {', '.join(known)}"
+        )
+    return MARKED.sub(lambda match: f"{match[1]}{_section(match[2], found)}\n{match[4]}", text)
+
+
+def _section(name: str, found: Results) -> str:
+    if name in ROLES:
+        return tables.role(found, *ROLES[name])
+    return SECTIONS[name](found)
+
+
+def rewrite(path: Path = PAGE, folder: Path = SAVED) -> bool:
+    """Make the page's tables anew; whether that changed anything."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as err:
+        raise ConfigError(f"{path} cannot be read: {err.strerror or err}") from err
+    made = regenerated(text, saved(folder))
+    path.write_text(made, encoding="utf-8")
+    return made != text
--- /dev/null
+++ b/magpieshift/lab/capacity/tables.py
@@ -0,0 +1,122 @@
+"""Tables of saved results, as Markdown."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from magpieshift.lab.capacity.measure import Row
+from magpieshift.lab.capacity.results import Result, ranked
+
+Results = Mapping[str, Result]  # by name, in the order in which they were taken
+
+WIDE = 2.0  # an exponent's interval as wide as this tells nothing
+NOTHING = "–"
+
+
+def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """A Markdown table."""
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join(f"| {' | '.join(line)} |" for line in lines)
+
+
+def number(value: float | None) -> str:
+    """Three digits, with commas between thousands."""
+    if value is None:
+        return NOTHING
+    if value >= 100 or value == int(value):
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def growth(row: Row) -> str:
+    """The exponent and its interval, where the measurements tell one."""
+    if row.exponent is None or row.interval is None:
+        return NOTHING
+    if row.exponent == 0:
+        return "none seen"
+    if row.interval[1] - row.interval[0] >= WIDE:
+        return "not told"
+    return f"{row.exponent:g} ({row.interval[0]:g} to {row.interval[1]:g})"
+
+
+def error(row: Row) -> str:
+    """The error of the prediction, in percent."""
+    return NOTHING if row.prediction_error is None else f"{100 * row.prediction_error:.0f}%"
+
+
+def origins(results: Results) -> str:
+    """Which run each result comes from."""
+    head = ("result", "command", "commit", "seed", "UTC", "cores", "Python", "s")
+    rows = []
+    for name, result in results.items():
+        o = result.origin
+        command = f"`{o.command}`"
+        rows.append((name, command, o.commit, str(o.seed), o.date, str(o.cores), o.python, number(o.took_s)))
+    return table(head, rows)
+
+
+def ranking(results: Results) -> str:
+    """Roles by ratio to budget in the newest result that has them, the largest first, with older ratios."""
+    newest: dict[tuple[str, str], Row] = {}
+    for result in results.values():
+        newest |= {(row.role, row.resource): row for row in result.rows}
+    lines = []
+    for row in ranked(list(newest.values())):
+        if row.budget is None:
+            continue
+        ratios = [_ratio(result, row) for result in results.values()]
+        lines.append((row.role, row.resource, number(row.budget), row.unit, *ratios))
+    return table(("role", "resource", "budget", "unit", *(f"ratio, {name}" for name in results)), lines)
+
+
+def _ratio(result: Result, wanted: Row) -> str:
+    for row in result.rows:
+        if (row.role, row.resource) == (wanted.role, wanted.resource):
+            return f"{row.ratio:.3g}" if row.ratio is not None else row.how
+    return "not run"
+
+
+def superlinear(results: Results) -> str:
+    """What grows faster than linearly, by name."""
+    lines = [
+        f"- {name}: {row.role}, {row.resource}, by {row.by}: exponent {growth(row)}, measured to"
+        f" {number(row.measured_to)}"
+        for name, result in results.items()
+        for row in result.rows
+        if row.superlinear
+    ]
+    return "\n".join(lines or ["- nothing in these results"])
+
+
+def role(results: Results, *names: str) -> str:
+    """All that was measured of these roles: a line a resource and result."""
+    head = (
+        "resource", "by (target)", "result", "measured to", "at half", "at target", "at twice", "unit",
+        "slope", "exponent", "error", "budget", "ratio", "how",
+    )  # fmt: skip
+    rows = [
+        (
+            f"{row.role}: {row.resource}", f"{row.by} ({number(row.target)})", name, number(row.measured_to),
+            number(row.at_half), number(row.at_target), number(row.at_twice), row.unit, number(row.slope),
+            growth(row), error(row), number(row.budget), number(row.ratio), row.how,
+        )
+        for name, result in results.items() for row in result.rows if row.role in names
+    ]  # fmt: skip
+    if not rows:
+        return "Not run."
+    commands = dict.fromkeys(
+        f"`{row.command}`" for result in results.values() for row in result.rows if row.role in names
+    )
+    budgets = dict.fromkeys(
+        f"{row.resource}: {row.derivation}"
+        for result in results.values()
+        for row in result.rows
+        if row.role in names and row.derivation
+    )
+    return "\n".join(
+        [
+            table(head, rows),
+            "",
+            f"Run: {'; '.join(commands)}. Budgets: {'; '.join(budgets) or 'none'}.",
+        ]
+    )
--- /dev/null
+++ b/tests/capacity/test_fit.py
@@ -0,0 +1,134 @@
+"""The fit: laws that are known, growth that is named, and roles of which nothing can be said."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from magpieshift.lab.capacity import measure
+from magpieshift.lab.capacity.fit import Point, UnfitError, fit, prediction_error
+from magpieshift.lab.capacity.measure import MOST_REACH, Row
+from magpieshift.lab.capacity.role import Budget, Resource, Sample
+
+SIZES = (1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
+SEEDS = range(30)
+
+
+def noisy(intercept: float, slope: float, exponent: float, seed: int, noise: float = 0.03) -> list[Point]:
+    """Three measurements a size of a known law, with relative noise."""
+    draw = np.random.default_rng(seed)
+    return [
+        Point(size, (intercept + slope * size**exponent) * float(draw.normal(1.0, noise)))
+        for size in SIZES
+        for _ in range(3)
+    ]
+
+
+class KnownLaws(unittest.TestCase):
+    def test_the_interval_holds_the_exponent(self) -> None:
+        for exponent in (0.5, 1.0, 1.5, 2.0):
+            fits = [fit(noisy(5.0, 0.7, exponent, seed)) for seed in SEEDS]
+            held = sum(f.interval[0] - 0.011 <= exponent <= f.interval[1] + 0.011 for f in fits)
+            self.assertGreaterEqual(held, 0.85 * len(fits), f"exponent {exponent}: {held} of {len(fits)}")
+
+    def test_growth_above_linear_is_named_and_linear_growth_is_not(self) -> None:
+        self.assertTrue(all(fit(noisy(5.0, 0.7, 1.5, seed)).superlinear for seed in SEEDS))
+        self.assertFalse(any(fit(noisy(5.0, 0.7, 1.0, seed)).superlinear for seed in SEEDS))
+
+    def test_an_exact_law_is_found_exactly(self) -> None:
+        found = fit(noisy(4.0, 2.0, 2.0, 0, noise=0.0))
+        self.assertEqual((round(found.intercept, 6), round(found.slope, 6)), (4.0, 2.0))
+        self.assertEqual((found.exponent, found.interval), (2.0, (2.0, 2.0)))
+
+    def test_what_does_not_grow_has_no_exponent(self) -> None:
+        found = fit(noisy(5.0, 0.0, 1.0, 0, noise=0.0))
+        self.assertAlmostEqual(found.at(1e6), 5.0, places=3)
+        self.assertFalse(found.superlinear)
+
+    def test_costs_never_go_below_zero(self) -> None:
+        falling = [Point(size, 10.0 - size / 50) for size in SIZES]
+        found = fit(falling)
+        self.assertGreaterEqual(min(found.intercept, found.slope), 0.0)
+
+    def test_two_sizes_make_no_law(self) -> None:
+        with self.assertRaises(UnfitError):
+            fit([Point(1, 1), Point(2, 2), Point(2, 2)])
+
+
+class Predictions(unittest.TestCase):
+    def test_a_law_that_holds_predicts_its_largest_size(self) -> None:
+        self.assertTrue(all(prediction_error(noisy(5.0, 0.7, 1.0, seed)) < 0.25 for seed in SEEDS))
+
+    def test_a_step_past_the_half_is_not_predicted(self) -> None:
+        points = [Point(size, 1.0 if size <= 100 else 3.0) for size in SIZES]
+        self.assertAlmostEqual(prediction_error(points), 2 / 3, places=2)
+
+    def test_too_few_sizes_up_to_half_predict_nothing(self) -> None:
+        self.assertEqual(prediction_error([Point(1, 1), Point(2, 2), Point(3, 3)]), float("inf"))
+
+
+@dataclass
+class Planned:
+    """A role whose costs are a plan's."""
+
+    plan: dict[float, float]
+    target: float
+    simulated: bool = False
+    name: str = "planned"
+    by: str = "things"
+    repeats: int = 2
+    resources: tuple[Resource, ...] = (Resource("processor", "ms", Budget(10.0, "a test's")),)
+    measured: list[float] = field(default_factory=list)
+
+    @property
+    def sizes(self) -> tuple[float, ...]:
+        return tuple(self.plan)
+
+    quick_sizes = sizes
+
+    def measure(self, size: float, seed: int, for_s: float) -> Sample:
+        self.measured.append(size)
+        return Sample(size, {"processor": self.plan[size]})
+
+
+def row_of(role: Planned, seed: int = 1) -> Row:
+    samples = measure.take_turns([role], seed, False, lambda line: None)
+    (row,) = measure.rows(role, samples[0])
+    return row
+
+
+class Rows(unittest.TestCase):
+    def test_what_can_be_predicted_is_extrapolated(self) -> None:
+        row = row_of(Planned({size: 2 * size for size in SIZES}, 1000.0))
+        self.assertEqual((row.at_half, row.at_target, row.at_twice), (1000.0, 2000.0, 4000.0))
+        self.assertEqual((row.how, row.ratio, row.measured_to), (measure.FITTED, 200.0, 300.0))
+
+    def test_what_cannot_be_predicted_is_called_unmeasured(self) -> None:
+        plan = {size: 1.0 if size <= 100 else 3.0 for size in SIZES}
+        row = row_of(Planned(plan, 1000.0))
+        self.assertEqual((row.how, row.at_target, row.ratio), (measure.UNMEASURED, None, None))
+
+    def test_what_was_measured_at_the_target_stands_whatever_a_fit_says(self) -> None:
+        plan = {size: 1.0 if size <= 100 else 3.0 for size in SIZES}
+        row = row_of(Planned(plan, 300.0))
+        self.assertEqual((row.how, row.at_target, row.at_twice), (measure.MEASURED, 3.0, None))
+
+    def test_nothing_is_extrapolated_too_far(self) -> None:
+        plan = {size: 2 * size for size in SIZES}
+        self.assertEqual(row_of(Planned(plan, 300 * MOST_REACH + 1)).how, measure.UNMEASURED)
+        self.assertEqual(row_of(Planned(plan, 300 * MOST_REACH)).how, measure.FITTED)
+
+    def test_a_simulation_is_called_one(self) -> None:
+        self.assertEqual(row_of(Planned({s: s for s in SIZES}, 100.0, simulated=True)).how, measure.SIMULATED)
+
+    def test_turns_are_drawn_from_the_seed(self) -> None:
+        orders = []
+        for seed in (1, 1, 2):
+            role = Planned({size: size for size in SIZES}, 100.0)
+            row_of(role, seed)
+            self.assertEqual(sorted(role.measured), sorted(SIZES * role.repeats))
+            orders.append(role.measured)
+        self.assertEqual(orders[0], orders[1])
+        self.assertNotEqual(orders[0], orders[2])
