--- a/magpieshift/lab/capacity/roles/changelog.py
+++ b/magpieshift/lab/capacity/roles/changelog.py
@@ -12,10 +12,10 @@
 from magpieshift.lab.capacity import fleet
 from magpieshift.lab.capacity.processor import processor_s, resident_mb
 from magpieshift.lab.capacity.role import Budget, Resource, Sample
+from magpieshift.lab.capacity.roles.purges import RESIDENT
 
 SETTLE_S = 0.3
 ASK = b"GET /changes HTTP/1.1\r\nHost: log\r\nAccept: text/event-stream\r\n\r\n"
-MOST_PERCENT = 50.0
 NETWORK_BYTES_PER_S = 125e6 / 2
 
 
@@ -58,6 +58,10 @@
         await process.wait()
 
 
+HALF_CORE = Budget(50.0, "half of the one core that one Python process can use")
+NETWORK = Budget(NETWORK_BYTES_PER_S, "half of a gigabit a second, assumed")
+
+
 class ChangeLogSource:
     """The stand-in log and watchers that take all at once: without a tier, every router is a watch."""
 
@@ -69,15 +73,10 @@
     repeats = 2
     simulated = False
     resources = (
-        Resource(
-            "processor", "% of a core",
-            Budget(MOST_PERCENT, "half of the one core that one Python process can use"),
-        ),
-        Resource(
-            "bytes", "bytes a second", Budget(NETWORK_BYTES_PER_S, "half of a gigabit a second, assumed")
-        ),
-        Resource("resident memory", "MB of the whole process"),
-    )  # fmt: skip
+        Resource("processor", "% of a core", HALF_CORE),
+        Resource("bytes", "bytes a second", NETWORK),
+        RESIDENT,
+    )
 
     def measure(self, size: float, seed: int, for_s: float) -> Sample:
         return asyncio.run(self._measure(int(size), for_s))
--- a/magpieshift/lab/capacity/roles/purges.py
+++ b/magpieshift/lab/capacity/roles/purges.py
@@ -19,6 +19,23 @@
 RESIDENT = Resource("resident memory", "MB of the whole process")
 
 
+def remember(world: CountedWorld, rate: float, draw: random.Random) -> None:
+    """Tell at once what was purged in the time that a router remembers."""
+    now = time.time()
+    count = int(rate * REMEMBERED_S)
+    for number in range(count):
+        world.purge(draw, now - REMEMBERED_S * (1 - number / count))
+
+
+async def tell(world: CountedWorld, rate: float, draw: random.Random, for_s: float) -> None:
+    """Tell purges at this rate for so long, each by itself."""
+    begun = time.monotonic()
+    for number in range(1, int(rate * for_s) + 1):
+        await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
+        world.purge(draw, time.time())
+    await asyncio.sleep(max(0.0, begun + for_s - time.monotonic()))
+
+
 class RouterPurges:
     """Purges one by one at an even rate, with as many remembered as the rate makes."""
 
@@ -40,10 +57,10 @@
     async def _measure(self, rate: float, draw: random.Random, for_s: float) -> Sample:
         async with ready_router(self._folder) as router:
             at_rest = router.read()
-            self._remember(router.world, rate, draw)
+            remember(router.world, rate, draw)
             await router.caught_up()
             begun = router.read()
-            await self._tell(router.world, rate, draw, for_s)
+            await tell(router.world, rate, draw, for_s)
             ended = router.read()
         took_s = ended.at_s - begun.at_s
         return Sample(
@@ -55,20 +72,3 @@
                 "resident memory": ended.memory_mb,
             },
         )
-
-    @staticmethod
-    def _remember(world: CountedWorld, rate: float, draw: random.Random) -> None:
-        """Tell at once what was purged in the time that a router remembers."""
-        now = time.time()
-        count = int(rate * REMEMBERED_S)
-        for number in range(count):
-            world.purge(draw, now - REMEMBERED_S * (1 - number / count))
-
-    @staticmethod
-    async def _tell(world: CountedWorld, rate: float, draw: random.Random, for_s: float) -> None:
-        """Tell purges at this rate for so long, each by itself."""
-        begun = time.monotonic()
-        for number in range(1, int(rate * for_s) + 1):
-            await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
-            world.purge(draw, time.time())
-        await asyncio.sleep(max(0.0, begun + for_s - time.monotonic()))
--- a/magpieshift/lab/capacity/routers.py
+++ b/magpieshift/lab/capacity/routers.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -102,19 +102,31 @@
 async def ready_router(folder: str = HERE, members: int = 1) -> AsyncIterator[Ready]:
     """The router of a checkout, started as the platform does, beside a list of so many caches."""
     async with contextlib.AsyncExitStack() as stack:
-        ready = await _come_up(stack, folder, members)
+        ready = await come_up(stack, folder, members)
         await ready.caught_up()
         yield ready
 
 
-async def _come_up(stack: contextlib.AsyncExitStack, folder: str, members: int) -> Ready:
-    """A router that serves; another port is tried where somebody took the one that was free."""
+async def _bare(world: CountedWorld) -> Sequence[str]:
+    """The words behind ``-m magpieshift`` of a router as the platform starts it: none."""
+    return ()
+
+
+async def come_up(
+    stack: contextlib.AsyncExitStack,
+    folder: str,
+    members: int = 1,
+    words: Callable[[CountedWorld], Awaitable[Sequence[str]]] = _bare,
+) -> Ready:
+    """A router that serves, until the stack is closed; another port is tried where somebody took the one
+    that was free. ``words`` are those of its command line, once its world is there."""
     for _ in range(TRIES):
         world = CountedWorld()
         stack.callback(world.stop)
         await world.start(members)
+        variant = Variant("router", folder, await words(world))
         try:
-            process, log = await stack.enter_async_context(started(Variant("router", folder), world))
+            process, log = await stack.enter_async_context(started(variant, world))
         except RuntimeError as err:
             if PORT_TAKEN not in str(err):
                 raise
