--- a/magpieshift/cli/capacity.py
+++ b/magpieshift/cli/capacity.py
@@ -64,17 +64,22 @@
         return show.rows([{"role": r.name, "by": r.by, "target": r.target} for r in roles], as_json)
     chosen = [role for role in roles if not names or role.name in names]
     began = time.monotonic()
-    samples = measure.take_turns(chosen, seed, quick, measure.on_terminal)
+    turns = measure.take_turns(chosen, seed, quick, measure.on_terminal)
     measure.on_terminal("")
-    rows = [row for place, role in enumerate(chosen) for row in measure.rows(role, samples[place])]
+    rows = [row for place, role in enumerate(chosen) for row in measure.rows(role, turns.samples[place])]
     command = " ".join(["magpieshift lab capacity --json", *(f"--role {n!r}" for n in names)])
     command += f" --seed {seed}" + (" --quick" if quick else "") + (" --router FOLDER" if folder else "")
     if save:
         result = results.Result(
-            results.origin(command, folder or HERE, seed, time.monotonic() - began), tuple(rows)
+            results.origin(command, folder or HERE, seed, time.monotonic() - began, turns.failures),
+            tuple(rows),
         )
         results.save(result, save)
     if as_json:
         click.echo(json.dumps([asdict(row) for row in rows]))
     else:
         show.rows([{name: asdict(row)[name] for name in SHOWN} for row in results.ranked(rows)], False)
+    for failure in turns.failures:
+        click.echo(f"failed: {failure}", err=True)
+    if turns.failures:
+        raise SystemExit(1)
--- a/magpieshift/lab/capacity/measure.py
+++ b/magpieshift/lab/capacity/measure.py
@@ -6,7 +6,7 @@
 import statistics
 import sys
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from magpieshift.lab.capacity.fit import Fit, Point, UnfitError, fit, prediction_error
 from magpieshift.lab.capacity.role import Resource, Role, Sample
@@ -51,25 +51,38 @@
     command: str
 
 
-def take_turns(roles: Sequence[Role], seed: int, quick: bool, progress: Progress) -> dict[int, list[Sample]]:
-    """Samples by a role's place in the list: every round measures every size of every role once, in an order
-    drawn from the seed, so that a slow minute of the machine strikes all alike."""
+@dataclass(slots=True)
+class Turns:
+    """What came of all measurements: samples by a role's place in the list, and what went wrong, a line
+    each."""
+
+    samples: dict[int, list[Sample]]
+    failures: list[str] = field(default_factory=list)
+
+
+def take_turns(roles: Sequence[Role], seed: int, quick: bool, progress: Progress) -> Turns:
+    """Every round measures every size of every role once, in an order drawn from the seed, so that a slow
+    minute of the machine strikes all alike. A measurement that fails is told of and left out."""
     draw = random.Random(seed)
-    found: dict[int, list[Sample]] = {place: [] for place in range(len(roles))}
+    turns = Turns({place: [] for place in range(len(roles))})
     for_s = QUICK_S if quick else FULL_S
     rounds = 1 if quick else max(role.repeats for role in roles)
     for round_ in range(rounds):
-        turns = [
+        order = [
             (place, size)
             for place, role in enumerate(roles)
             if quick or round_ < role.repeats
             for size in (role.quick_sizes if quick else role.sizes)
         ]
-        draw.shuffle(turns)
-        for place, size in turns:
-            progress(f"round {round_ + 1} of {rounds}: {roles[place].name} at {size:g} {roles[place].by}")
-            found[place].append(roles[place].measure(size, draw.getrandbits(32), for_s))
-    return found
+        draw.shuffle(order)
+        for place, size in order:
+            what = f"{roles[place].name} at {size:g} {roles[place].by}"
+            progress(f"round {round_ + 1} of {rounds}: {what}")
+            try:
+                turns.samples[place].append(roles[place].measure(size, draw.getrandbits(32), for_s))
+            except (OSError, RuntimeError) as err:  # a timeout is an OSError
+                turns.failures.append(f"{what}: {type(err).__name__}: {err}")
+    return turns
 
 
 def on_terminal(line: str) -> None:
@@ -79,8 +92,8 @@
 
 
 def rows(role: Role, samples: Sequence[Sample]) -> list[Row]:
-    """A row for each resource of a role."""
-    return [row(role, resource, samples) for resource in role.resources]
+    """A row for each resource of a role; none where no measurement came through."""
+    return [row(role, resource, samples) for resource in role.resources] if samples else []
 
 
 def row(role: Role, resource: Resource, samples: Sequence[Sample]) -> Row:
--- a/magpieshift/lab/capacity/results.py
+++ b/magpieshift/lab/capacity/results.py
@@ -29,6 +29,7 @@
     cores: int
     python: str
     took_s: float
+    failures: tuple[str, ...] = ()  # measurements that are missing, and why
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +45,12 @@
         return f'{{"origin": {json.dumps(asdict(self.origin))},\n"rows": [\n{rows}\n]}}\n'
 
 
-def origin(command: str, folder: str, seed: int, took_s: float) -> Origin:
+def origin(command: str, folder: str, seed: int, took_s: float, failures: Sequence[str]) -> Origin:
     """The origin of a run that measured the router in this folder."""
     now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
     cores = os.cpu_count() or 0
-    return Origin(command, _commit(folder), seed, now, cores, platform.python_version(), round(took_s, 1))
+    python = platform.python_version()
+    return Origin(command, _commit(folder), seed, now, cores, python, round(took_s, 1), tuple(failures))
 
 
 def _commit(folder: str) -> str:
@@ -76,7 +78,8 @@
     try:
         data = json.loads(path.read_text(encoding="utf-8"))
         rows = tuple(_row(row) for row in data["rows"])
-        return Result(Origin(**data["origin"]), rows)
+        told = data["origin"]
+        return Result(Origin(**(told | {"failures": tuple(told["failures"])})), rows)
     except OSError as err:
         raise ConfigError(f"{path} cannot be read: {err.strerror or err}") from err
     except (ValueError, TypeError, KeyError) as err:
--- a/magpieshift/lab/capacity/tables.py
+++ b/magpieshift/lab/capacity/tables.py
@@ -46,12 +46,24 @@
 
 def origins(results: Results) -> str:
     """Which run each result comes from."""
-    head = ("result", "command", "commit", "seed", "UTC", "cores", "Python", "s")
+    head = ("result", "command", "commit", "seed", "UTC", "cores", "Python", "s", "failed")
     rows = []
     for name, result in results.items():
         o = result.origin
         command = f"`{o.command}`"
-        rows.append((name, command, o.commit, str(o.seed), o.date, str(o.cores), o.python, number(o.took_s)))
+        rows.append(
+            (
+                name,
+                command,
+                o.commit,
+                str(o.seed),
+                o.date,
+                str(o.cores),
+                o.python,
+                number(o.took_s),
+                "; ".join(o.failures) or "none",
+            )
+        )
     return table(head, rows)
 
 
--- a/tests/capacity/test_fit.py
+++ b/tests/capacity/test_fit.py
@@ -81,6 +81,7 @@
     repeats: int = 2
     resources: tuple[Resource, ...] = (Resource("processor", "ms", Budget(10.0, "a test's")),)
     measured: list[float] = field(default_factory=list)
+    failing: frozenset[float] = frozenset()
 
     @property
     def sizes(self) -> tuple[float, ...]:
@@ -90,12 +91,14 @@
 
     def measure(self, size: float, seed: int, for_s: float) -> Sample:
         self.measured.append(size)
+        if size in self.failing:
+            raise TimeoutError("nobody answered")
         return Sample(size, {"processor": self.plan[size]})
 
 
 def row_of(role: Planned, seed: int = 1) -> Row:
-    samples = measure.take_turns([role], seed, False, lambda line: None)
-    (row,) = measure.rows(role, samples[0])
+    turns = measure.take_turns([role], seed, False, lambda line: None)
+    (row,) = measure.rows(role, turns.samples[0])
     return row
 
 
@@ -123,6 +126,12 @@
     def test_a_simulation_is_called_one(self) -> None:
         self.assertEqual(row_of(Planned({s: s for s in SIZES}, 100.0, simulated=True)).how, measure.SIMULATED)
 
+    def test_a_measurement_that_fails_is_told_of_and_left_out(self) -> None:
+        role = Planned({size: size for size in SIZES}, 100.0, failing=frozenset({10.0}))
+        turns = measure.take_turns([role], 1, False, lambda line: None)
+        self.assertEqual(len(turns.samples[0]), (len(SIZES) - 1) * role.repeats)
+        self.assertEqual(turns.failures, ["planned at 10 things: TimeoutError: nobody answered"] * 2)
+
     def test_turns_are_drawn_from_the_seed(self) -> None:
         orders = []
         for seed in (1, 1, 2):
