--- a/magpieshift/lab/capacity/page.py
+++ b/magpieshift/lab/capacity/page.py
@@ -16,7 +16,7 @@
 
 PAGE = Path(HERE) / "docs" / "CAPACITY.md"
 SAVED = Path(HERE) / "docs" / "capacity"
-ORDER = ("as-it-stood", "before", "after")  # results by name of their file
+ORDER = ("as-it-stood", "before", "after", "fan-out")  # results by name of their file
 
 MARKED = re.compile(r"(<!-- capacity ([a-z-]+) -->\n)(.*?)(<!-- end -->)", re.DOTALL)
 
@@ -27,8 +27,14 @@
         "router: requests",
         "router: bytes of an answer",
     ),
-    "router-control": ("router: purges", "router: list of caches", "router: versions"),
+    "router-control": (
+        "router: purges",
+        "router: purges behind a relay",
+        "router: list of caches",
+        "router: versions",
+    ),
     "change-log": ("change-log source",),
+    "fan-out": ("fan-out: source", "fan-out: relay", "fan-out: relay, by purges"),
     "control-service": ("control service: followers", "control service: versions kept"),
     "membership": ("membership",),
     "digests": ("overload digests",),
--- a/magpieshift/lab/capacity/roles/__init__.py
+++ b/magpieshift/lab/capacity/roles/__init__.py
@@ -13,6 +13,12 @@
 from magpieshift.lab.capacity.roles.membership import Membership
 from magpieshift.lab.capacity.roles.objects import Objects
 from magpieshift.lab.capacity.roles.purges import RouterPurges
+from magpieshift.lab.capacity.roles.relays import (
+    RelayFollowers,
+    RelayPurges,
+    RouterBehindRelay,
+    SourceFollowers,
+)
 from magpieshift.lab.capacity.roles.requests import BytesCarried, Requests
 from magpieshift.lab.capacity.roles.rollouts import RolloutLook, RolloutMemory
 from magpieshift.lab.capacity.roles.versions import RouterVersions
@@ -30,6 +36,10 @@
         RouterLists(router_folder),
         RouterVersions(),
         ChangeLogSource(),
+        SourceFollowers(),
+        RelayFollowers(),
+        RelayPurges(),
+        RouterBehindRelay(router_folder),
         ControlService(),
         VersionsKept(),
         Membership(),
