--- a/magpieshift/cli/capacity.py
+++ b/magpieshift/cli/capacity.py
@@ -29,12 +29,22 @@
     """Looked up only when a role is named: it takes the laboratory's libraries."""
     from magpieshift.lab.capacity.roles import every_role
 
-    return sorted({role.name for role in every_role()})
+    names = {role.name for role in every_role()}
+    return sorted(names | {_group(name) for name in names})
+
+
+def _group(name: str) -> str:
+    """What stands before the colon, or the whole name."""
+    return name.partition(":")[0]
 
 
 @click.command(epilog=EPILOG)
 @click.option(
-    "--role", "names", multiple=True, type=OneOf(_role_names), help="Only this role; may be given again."
+    "--role",
+    "names",
+    multiple=True,
+    type=OneOf(_role_names),
+    help="Only this role, or all with this before the colon; may be given again.",
 )
 @click.option("--list", "listing", is_flag=True, help="Name the roles, and measure nothing.")
 @click.option("--quick", is_flag=True, help="Fewer sizes, once each: a trial, not a result.")
@@ -62,7 +72,7 @@
     roles = every_role(folder or HERE)
     if listing:
         return show.rows([{"role": r.name, "by": r.by, "target": r.target} for r in roles], as_json)
-    chosen = [role for role in roles if not names or role.name in names]
+    chosen = [role for role in roles if not names or {role.name, _group(role.name)} & set(names)]
     began = time.monotonic()
     turns = measure.take_turns(chosen, seed, quick, measure.on_terminal)
     measure.on_terminal("")
--- a/magpieshift/lab/capacity/roles/__init__.py
+++ b/magpieshift/lab/capacity/roles/__init__.py
@@ -21,6 +21,7 @@
 )
 from magpieshift.lab.capacity.roles.requests import BytesCarried, Requests
 from magpieshift.lab.capacity.roles.rollouts import RolloutLook, RolloutMemory
+from magpieshift.lab.capacity.roles.snapshots import Snapshots
 from magpieshift.lab.capacity.roles.versions import RouterVersions
 from magpieshift.lab.capacity.routers import HERE
 
@@ -39,6 +40,7 @@
         SourceFollowers(),
         RelayFollowers(),
         RelayPurges(),
+        Snapshots(),
         RouterBehindRelay(router_folder),
         ControlService(),
         VersionsKept(),
--- a/magpieshift/lab/capacity/roles/relays.py
+++ b/magpieshift/lab/capacity/roles/relays.py
@@ -186,7 +186,7 @@
     by = "relays"
     target = float(fleet.CONTROL_MACHINES)
     sizes = (2.0, 5.0, 10.0, 20.0, 40.0)
-    quick_sizes = (2.0, 3.0, 5.0, 10.0)
+    quick_sizes = ()  # too long for a trial
     repeats = 2
     simulated = False
     resources = FOLLOWED
@@ -231,7 +231,7 @@
     by = "purges a second"
     target = float(fleet.PURGES_PER_S)
     sizes = (1.0, 27.0, 55.0, 110.0, 220.0, 440.0)
-    quick_sizes = (1.0, 27.0, 55.0, 110.0)
+    quick_sizes = ()  # too long for a trial
     repeats = 1
     simulated = False
     resources = FOLLOWED
@@ -253,7 +253,7 @@
 class RouterBehindRelay:
     """A started router that follows a relay, and gets no requests, by purges."""
 
-    name = "router: purges behind a relay"
+    name = "fan-out: router"
     by = "purges a second"
     target = float(fleet.PURGES_PER_S)
     sizes = (1.0, 27.0, 55.0, 110.0, 220.0, 440.0)
--- /dev/null
+++ b/magpieshift/lab/capacity/roles/snapshots.py
@@ -0,0 +1,80 @@
+"""The fan-out tier: what a snapshot takes, by the purges in it; it has the target's list of caches."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from magpieshift.control import sexp
+from magpieshift.lab.capacity import fleet
+from magpieshift.lab.capacity.documents import settings
+from magpieshift.lab.capacity.processor import spending
+from magpieshift.lab.capacity.role import Budget, Resource, Sample
+from magpieshift.lab.capacity.roles.changelog import NETWORK_BYTES_PER_S
+from magpieshift.relay.codec import decode, encode
+from magpieshift.relay.limits import PURGES_KEPT_US, SNAPSHOT_REUSED_US, SNAPSHOTS_PER_S
+from magpieshift.relay.messages import ConfigurationChange, Epoch, Purge, Snapshot
+
+TIMES = 3
+KEPT_S = PURGES_KEPT_US / 1e6
+REUSED_S = SNAPSHOT_REUSED_US / 1e6
+NOW_US = 1_764_576_000_000_000
+
+
+def snapshot(purges: int, draw: random.Random) -> Snapshot:
+    """A snapshot with so many purges, the target's list of caches and a whole version."""
+    made_us = sorted(NOW_US - draw.randrange(PURGES_KEPT_US) // 1000 * 1000 for _ in range(purges))
+    members = [
+        {
+            "id": f"s-{number}", "host_port": f"10.0.{number // 256}.{number % 256}:7000",
+            "locality": f"zone-{number % fleet.ZONES}", "flavor": "box", "cell": number,
+            "phase": "SERVING", "size": 4, "up_since_ms": 0,
+        }
+        for number in range(fleet.CACHES)
+    ]  # fmt: skip
+    text = sexp.write(settings(fleet.ZONES))
+    return Snapshot(
+        Epoch(NOW_US // 1000, 1),
+        purges,
+        json.dumps({"revision": 1, "complete": True, "members": members}),
+        tuple(Purge(f"{draw.getrandbits(64):016x}", 0, at_us) for at_us in made_us),
+        ConfigurationChange(1, "0" * 64, "", text.encode()),
+    )
+
+
+class Snapshots:
+    """One snapshot, written by a relay and read by a router."""
+
+    name = "fan-out: snapshot"
+    by = "purges in it"
+    target = fleet.PURGES_PER_S * KEPT_S
+    sizes = (206.0, 412.0, 825.0, 1650.0, 3300.0, 6600.0, 13200.0)
+    quick_sizes = (206.0, 412.0, 825.0, 1650.0)
+    repeats = 2
+    simulated = False
+    resources = (
+        Resource("written", "ms of processor", Budget(500 * REUSED_S, "half of a core at one each second")),
+        Resource("read", "ms of processor"),
+        Resource(
+            "bytes",
+            "bytes",
+            Budget(NETWORK_BYTES_PER_S / SNAPSHOTS_PER_S, f"{SNAPSHOTS_PER_S} a second in half a gigabit"),
+        ),
+    )
+
+    def measure(self, size: float, seed: int, for_s: float) -> Sample:
+        made = snapshot(int(size), random.Random(seed))
+        with spending() as written:
+            for _ in range(TIMES):
+                data = encode(made)
+        with spending() as read:
+            for _ in range(TIMES):
+                decode(data)
+        return Sample(
+            size,
+            {
+                "written": 1e3 * written.seconds / TIMES,
+                "read": 1e3 * read.seconds / TIMES,
+                "bytes": len(data),
+            },
+        )
