--- a/magpieshift/cli/capacity.py
+++ b/magpieshift/cli/capacity.py
@@ -40,12 +40,9 @@
 
 @click.command(epilog=EPILOG)
 @click.option(
-    "--role",
-    "names",
-    multiple=True,
-    type=OneOf(_role_names),
+    "--role", "names", multiple=True, type=OneOf(_role_names),
     help="Only this role, or all with this before the colon; may be given again.",
-)
+)  # fmt: skip
 @click.option("--list", "listing", is_flag=True, help="Name the roles, and measure nothing.")
 @click.option("--quick", is_flag=True, help="Fewer sizes, once each: a trial, not a result.")
 @click.option(
