--- a/magpieshift/lab/capacity/arithmetic.py
+++ b/magpieshift/lab/capacity/arithmetic.py
@@ -8,7 +8,7 @@
 from magpieshift.lab.capacity import fleet
 from magpieshift.lab.capacity.measure import Row
 from magpieshift.lab.capacity.results import Result
-from magpieshift.lab.capacity.tables import Results, number, table
+from magpieshift.lab.capacity.tables import NOT_TOLD, Results, growth, number, table
 from magpieshift.relay.limits import LEASE_US, SILENCE_US, SNAPSHOTS_PER_S
 
 LARGEST_ANSWER = 240_000  # bytes: the largest object part that stores send, and the largest measured
@@ -51,13 +51,15 @@
     if byte_us is None:
         return f"- {name}: the cost of a byte did not come out linear, so nothing is said of bytes."
     answer_us = request_us + byte_us * LARGEST_ANSWER
+    doubt = "; the spread is nearly as large" if growth(answers) == NOT_TOLD else ""
     cores = fleet.BYTES_PER_ROUTER_S / LARGEST_ANSWER * answer_us / 1e6
     return (
         f"- {name}: {fleet.REQUESTS_PER_ROUTER_S:.0f} small requests a second take"
         f" {number(requests.at_target)}% of a core ({requests.how}), {request_us:.0f} us each; a byte adds"
-        f" {1e3 * byte_us:.3g} ns (fitted, to {number(answers.measured_to)} bytes). An answer of the largest"
-        f" size then takes {answer_us:.0f} us (fitted), so one Python process, which has one core, carries at"
-        f" most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}% of the mean router's bytes."
+        f" {1e3 * byte_us:.3g} ns (fitted, to {number(answers.measured_to)} bytes{doubt})."
+        f" An answer of the largest size then takes {answer_us:.0f} us (fitted), so one Python process, which"
+        f" has one core, carries at most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}% of the"
+        " mean router's bytes."
         f" It carries the mean rate of small requests; it does not carry the mean rate of bytes, for which"
         f" {cores:.1f} cores would be needed, nor what sites busier than the mean ask for."
     )
@@ -120,7 +122,7 @@
             f"{fleet.ROUTERS // fleet.REGIONS} routers",
             _catch_up(fleet.PURGES_PER_S * HOUR_S, purges, sent),
             "its routers serve on; they don't know what was purged, and don't bound the age of copies",
-            "fitted",
+            "a purge told by itself is measured; in a crowd it costs less, by how much is unmeasured",
         ),
         Failure(
             "the change log's machine",
@@ -213,10 +215,10 @@
 
 
 def _catch_up(backlog: int, purges: Row | None, sent: Row | None) -> str:
-    """An hour's purges told to one router after the cut, as the direct log does: one by one."""
+    """An hour's purges told to one router after the cut, at what one costs that is told by itself."""
     text = f"{backlog:,} purges each to take in"
-    if purges is None or sent is None or purges.slope is None or sent.at_target is None:
+    if purges is None or sent is None or purges.at_target is None or sent.at_target is None:
         return f"{text}; {UNMEASURED}"
-    processor_s = backlog * purges.slope / 100
+    processor_s = backlog * purges.at_target / 100 / purges.target
     megabytes = sent.at_target * HOUR_S / 1e6
-    return f"{text}: {megabytes:.0f} MB and {processor_s:.0f} s of a core a router"
+    return f"{text}: {megabytes:.0f} MB and at most {processor_s:.0f} s of a core a router"
--- a/magpieshift/lab/capacity/page.py
+++ b/magpieshift/lab/capacity/page.py
@@ -35,7 +35,11 @@
     ),
     "change-log": ("change-log source",),
     "fan-out": ("fan-out: source", "fan-out: relay", "fan-out: relay, by purges", "fan-out: snapshot"),
-    "control-service": ("control service: followers", "control service: versions kept"),
+    "control-service": (
+        "control service: followers",
+        "control service: versions kept",
+        "control service: look of a source",
+    ),
     "membership": ("membership",),
     "digests": ("overload digests",),
     "rollout": ("rollout: look", "rollout: judge's memory"),
--- a/magpieshift/lab/capacity/roles/control.py
+++ b/magpieshift/lab/capacity/roles/control.py
@@ -182,3 +182,25 @@
             with spending() as spent:
                 read_folder(name)
         return Sample(size, {"processor": 1e3 * spent.seconds})
+
+
+class SourceLook:
+    """One look of the fan-out tier's source at such a folder, of which it has passed on the newest."""
+
+    name = "control service: look of a source"
+    by = "versions in the folder"
+    target = float(fleet.VERSIONS_PER_DAY)
+    sizes = (312.0, 625.0, 1250.0, 2500.0, 5000.0, 10_000.0, 20_000.0)
+    quick_sizes = (78.0, 156.0, 312.0, 625.0)
+    repeats = 1
+    simulated = False
+    resources = (Resource("processor", "ms a look", IN_FORCE),)
+
+    def measure(self, size: float, seed: int, for_s: float) -> Sample:
+        newest = int(size) - 1
+        with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as name:
+            for number in range(int(size)):
+                (Path(name) / f"{number}.sexp").touch()  # what is in one that was passed on is not read
+            with spending() as spent:
+                read_folder(name, newest)
+        return Sample(size, {"processor": 1e3 * spent.seconds})
--- a/magpieshift/lab/capacity/tables.py
+++ b/magpieshift/lab/capacity/tables.py
@@ -11,6 +11,7 @@
 
 WIDE = 2.0  # an exponent's interval as wide as this tells nothing
 NOTHING = "–"
+NOT_TOLD = "not told"
 
 
 def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -35,7 +36,7 @@
     if row.exponent == 0:
         return "none seen"
     if row.interval[1] - row.interval[0] >= WIDE:
-        return "not told"
+        return NOT_TOLD
     return f"{row.exponent:g} ({row.interval[0]:g} to {row.interval[1]:g})"
 
 
