--- a/magpieshift/lab/capacity/arithmetic.py
+++ b/magpieshift/lab/capacity/arithmetic.py
@@ -58,10 +58,10 @@
         f" {number(requests.at_target)}% of a core ({requests.how}), {request_us:.0f} us each; a byte adds"
         f" {1e3 * byte_us:.3g} ns (fitted, to {number(answers.measured_to)} bytes{doubt})."
         f" An answer of the largest size then takes {answer_us:.0f} us (fitted), so one Python process, which"
-        f" has one core, carries at most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}% of the"
-        " mean router's bytes."
-        f" It carries the mean rate of small requests; it does not carry the mean rate of bytes, for which"
-        f" {cores:.1f} cores would be needed, nor what sites busier than the mean ask for."
+        f" has one core, carries at most {LARGEST_ANSWER / answer_us:.0f} MB a second: {100 / cores:.0f}%"
+        " of the mean router's bytes. It carries the mean rate of small requests; it does not carry the mean"
+        f" rate of bytes, for which {cores:.1f} cores would be needed, nor what sites busier than the mean"
+        " ask for."
     )
 
 
