--- a/magpieshift/lab/capacity/roles/rollouts.py
+++ b/magpieshift/lab/capacity/roles/rollouts.py
@@ -8,7 +8,8 @@
 from magpieshift.lab.capacity import fleet
 from magpieshift.lab.capacity.processor import spending
 from magpieshift.lab.capacity.role import Budget, Resource, Sample
-from magpieshift.lab.simulated.rollout import LOOK_S, NEW, OLD, plan_of
+from magpieshift.lab.simulated.rollout import LOOK_S
+from magpieshift.lab.simulated.rollout_fleet import NEW, OLD, plan_of
 from magpieshift.rollout.coordinator import Coordinator
 from magpieshift.rollout.figures import Figures
 from magpieshift.rollout.judge import MOST_SAMPLES, SETTLE_US, Judge, Verdict
