--- a/magpieshift/cli/scale.py
+++ b/magpieshift/cli/scale.py
@@ -20,7 +20,7 @@
     from magpieshift.lab.scale.calibration import Calibration
     from magpieshift.lab.scale.run import Plan
 
-CALIBRATE = "calibrate"
+CALIBRATE, TOPOLOGY = "calibrate", "topology"
 LEAST_SECONDS, DAY_S = 2.0, 86_400.0
 ROLES = ("log", "control", "node", "network", "worker")
 
@@ -29,7 +29,7 @@
     """What can be named as SCENARIO."""
     from magpieshift.lab.scale.scenario import SCENARIOS
 
-    return [*SCENARIOS, CALIBRATE]
+    return [*SCENARIOS, CALIBRATE, TOPOLOGY]
 
 
 def feeds() -> Iterable[str]:
@@ -86,12 +86,13 @@
     as_json: bool,
 ) -> None:  # fmt: skip
     """Many hollow routers (the control side of real ones) under the load of a large fleet; exit code 1 if an
-    invariant broke. SCENARIO is one of --list, or "calibrate", which holds hollow ones against real ones."""
+    invariant broke. SCENARIO is one of --list; or "calibrate", which holds hollow ones against real ones; or
+    "topology", which prints a generated file for --topology."""
     from magpieshift.lab.scale.calibration import Calibration
     from magpieshift.lab.scale.processes import ProcessEnded
     from magpieshift.lab.scale.run import Plan
     from magpieshift.lab.scale.scenario import SCENARIOS
-    from magpieshift.lab.scale.topology import read_file
+    from magpieshift.lab.scale.topology import generate, read_file, write
 
     if listed:
         for known in SCENARIOS.values():
@@ -99,6 +100,9 @@
         return
     if scenario is None:
         raise click.UsageError(f"SCENARIO: found nothing, expected one of {', '.join(scenarios())}")
+    if scenario == TOPOLOGY:
+        click.echo(write(generate(routers, seed)), nl=False)
+        return
     try:
         if scenario == CALIBRATE:
             _calibrate(Calibration(runs, seed, seconds, caches, sizes), save, as_json)
--- a/magpieshift/lab/scale/calibration.py
+++ b/magpieshift/lab/scale/calibration.py
@@ -38,9 +38,11 @@
 LOOK_S = 0.1
 REST_S = 1.0  # after the start, before the load
 END_S = 8.0
-BARE = (
-    "import magpieshift.installation.runner, magpieshift.installation.following; print(flush=True); input()"
-)
+MODULES = (
+    "magpieshift.cli.main", "structlog", "magpieshift.installation.runner",
+    "magpieshift.installation.following",
+)  # fmt: skip
+BARE = f"import {', '.join(MODULES)}; print(flush=True); input()"
 FIGURES = ("cpu_percent", "bytes_s", "mb")
 
 
--- a/magpieshift/lab/scale/run.py
+++ b/magpieshift/lab/scale/run.py
@@ -17,7 +17,7 @@
 from magpieshift.lab.scale.messages import LogReport, WorkerReport
 from magpieshift.lab.scale.player import Player
 from magpieshift.lab.scale.processes import Child
-from magpieshift.lab.scale.relays import RelayTier
+from magpieshift.lab.scale.relays import RELAYS_A_REGION, RelayTier
 from magpieshift.lab.scale.result import (
     Result,
     judge_losses,
@@ -27,7 +27,7 @@
 )
 from magpieshift.lab.scale.scenario import Scenario
 from magpieshift.lab.scale.tier import DirectTier, Tier
-from magpieshift.lab.scale.topology import Topology, generate
+from magpieshift.lab.scale.topology import TARGET_REGIONS, Topology, generate
 from magpieshift.relay.limits import LEASE_US
 
 TIERS: Mapping[str, Callable[[Topology], Tier]] = {
@@ -35,6 +35,10 @@
     "relay": RelayTier,
 }
 FEEDS = tuple(TIERS)
+CONTROL_PROCESSES = {
+    "direct": 2,
+    "relay": 2 + RELAYS_A_REGION * TARGET_REGIONS,
+}  # at most, change log included
 MOST_WORKERS = 6
 ROUTERS_A_WORKER = 10  # as long as there are workers left
 LOOK_S = 0.25
@@ -63,7 +67,7 @@
 
     def check(self) -> None:
         """``ConfigError`` where this cannot be run."""
-        memory.check(self.routers, self.processes, self.caches)
+        memory.check(self.routers, self.processes + CONTROL_PROCESSES[self.feed], self.caches)
 
     @property
     def processes(self) -> int:
--- a/tests/scale/test_runs.py
+++ b/tests/scale/test_runs.py
@@ -89,6 +89,10 @@
         for name in ("steady", "burst", "restarts", "rack-lost", "zone-lost", "region-cut", "slow-routers"):
             self.assertIn(f"{name}: ", out)
 
+    def test_the_target_s_topology_is_printed_as_a_file(self) -> None:
+        code, out, _ = call("topology", "--routers", "4800", "--seed", "2")
+        self.assertEqual((code, len(read(out).places), len(read(out).form.sites)), (0, 4800, 370))
+
     def test_bad_input_is_one_line_and_exit_code_2(self) -> None:
         for args, told in {
             ("stedy",): "found 'stedy', expected one of steady",
