--- a/magpieshift/control/__init__.py
+++ b/magpieshift/control/__init__.py
@@ -1,8 +1,8 @@
-"""Versioned configuration: documents, the ledger of versions, the transaction, the store, the control
+"""Versioned configuration: documents, the history of versions, the transaction, the store, the control
 channel.
 
 Nothing here is imported by a router that runs without it. ``sexp`` and ``schema`` read settings files,
-``ledger`` decides on versions, ``magpieshift.transaction`` carries one out, ``store`` keeps them, ``keeper``
-joins these to a running router; ``session`` and ``client`` follow a control service, ``publisher`` and
-``service`` are one.
+``version_history`` decides on versions, ``magpieshift.transaction`` carries one out, ``store`` keeps them,
+``version_manager`` joins these to a running router; ``session`` and ``client`` follow a control service,
+``publisher`` and ``service`` are one.
 """
--- a/magpieshift/control/client.py
+++ b/magpieshift/control/client.py
@@ -14,9 +14,9 @@
 import grpc.aio
 
 from magpieshift.control.backoff import Backoff
-from magpieshift.control.keeper import Keeper
-from magpieshift.control.ledger import Answer, Offer
 from magpieshift.control.session import MOST_BYTES, SOURCE, RouterSession
+from magpieshift.control.version_history import Answer, Offer
+from magpieshift.control.version_manager import VersionManager
 from magpieshift.log import fields
 
 log = logging.getLogger(__name__)
@@ -50,9 +50,9 @@
     """Owner of the one stream to the control service."""
 
     def __init__(
-        self, address: str, keeper: Keeper, name: str, boot: str, rand: random.Random | None = None
+        self, address: str, manager: VersionManager, name: str, boot: str, rand: random.Random | None = None
     ) -> None:
-        self._address, self._keeper, self._name, self._boot = address, keeper, name, boot
+        self._address, self._manager, self._name, self._boot = address, manager, name, boot
         self._backoff = Backoff(rand or random.Random())
         self._task: asyncio.Task[None] | None = None
         self._trouble = ""
@@ -60,7 +60,7 @@
         self._unsent: deque[bytes] = deque()
         self._session: RouterSession | None = None
         self._changed = asyncio.Event()
-        keeper.listeners.append(self._answered)
+        manager.listeners.append(self._answered)
 
     def start(self) -> None:
         self._task = asyncio.ensure_future(self._run())
@@ -71,7 +71,7 @@
             if not self._unsent or self._session is None:
                 break
             await asyncio.sleep(0.01)
-        self._keeper.listeners.remove(self._answered)
+        self._manager.listeners.remove(self._answered)
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait([self._task])
@@ -98,7 +98,7 @@
             tell(
                 "control service lost",
                 extra=fields(
-                    address=self._address, reason=self._trouble, version=self._keeper.in_force.number
+                    address=self._address, reason=self._trouble, version=self._manager.in_force.number
                 ),
             )
             self._told_lost = True  # once, until it is there again: it may be away for days
@@ -113,7 +113,7 @@
             try:
                 await connect(channel)
                 hello = session.hello(
-                    self._name, self._boot, self._keeper.in_force, self._keeper.running(), self._trouble
+                    self._name, self._boot, self._manager.in_force, self._manager.running(), self._trouble
                 )
                 await call.write(hello)
                 if self._told_lost:
@@ -138,7 +138,7 @@
     def _take(self, session: RouterSession, data: bytes) -> None:
         match session.feed(data):
             case Offer() as offer:
-                self._keeper.offer(offer)
+                self._manager.offer(offer)
             case Answer() as answer:
                 log.warning(
                     "message turned down", extra=fields(reason=answer.detail, version=answer.offer.number)
@@ -147,9 +147,9 @@
 
     def _answered(self, answer: Answer, apply_us: int, pause_us: int) -> None:
         if self._session is not None and answer.offer.source == SOURCE:
-            keeper = self._keeper
+            manager = self._manager
             self._unsent.append(
-                self._session.answer(answer, keeper.in_force, keeper.running(), apply_us, pause_us)
+                self._session.answer(answer, manager.in_force, manager.running(), apply_us, pause_us)
             )
             self._changed.set()
 
--- a/magpieshift/control/content.py
+++ b/magpieshift/control/content.py
@@ -8,9 +8,9 @@
 
 from magpieshift.config import Address, Document
 from magpieshift.control import schema, sexp
-from magpieshift.control.ledger import Offer, Reason
 from magpieshift.control.schema import Loaded
 from magpieshift.control.sexp import Change, Unusable
+from magpieshift.control.version_history import Offer, Reason
 
 
 @dataclass(frozen=True)
--- a/magpieshift/control/publisher.py
+++ b/magpieshift/control/publisher.py
@@ -18,9 +18,9 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.content import data_digest
-from magpieshift.control.ledger import Reason
 from magpieshift.control.session import write_changes
 from magpieshift.control.sexp import Unusable
+from magpieshift.control.version_history import Reason
 from magpieshift.control.wire import control_pb2 as wire
 
 MOST_KEPT = 256  # versions that deltas can build on
--- a/magpieshift/control/session.py
+++ b/magpieshift/control/session.py
@@ -11,8 +11,8 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.content import Delta, Full
-from magpieshift.control.ledger import Answer, Offer, Reason, Record
 from magpieshift.control.sexp import Change, Unusable
+from magpieshift.control.version_history import Answer, Offer, Reason, Record
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.transaction import Running
 
--- a/magpieshift/control/store.py
+++ b/magpieshift/control/store.py
@@ -6,7 +6,7 @@
 back on, costs nothing. Reading looks for marks, so one damaged record hides no other. What was torn off by a
 crash never was acknowledged, and is cut away when the file is opened to be written.
 
-All calls block; ``Keeper`` makes them in a thread. One process may hold a folder open for writing.
+All calls block; ``VersionManager`` makes them in a thread. One process may hold a folder open for writing.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 from crc32c import crc32c
 
-from magpieshift.control.ledger import Reason, Record, State
+from magpieshift.control.version_history import Reason, Record, State
 from magpieshift.log import fields
 
 log = logging.getLogger(__name__)
--- a/magpieshift/control/ledger.py
+++ b/magpieshift/control/version_history.py
@@ -1,4 +1,4 @@
-"""The ledger of versions: what was offered, is being prepared, is in force, or was turned down and why.
+"""The history of versions: what was offered, is being prepared, is in force, or was turned down and why.
 
 It is the one truth that log, command line and control service read. No I/O and no clock: it is told the time.
 The rules of numbers, each tested:
@@ -71,7 +71,7 @@
     source: str  # who offered it, for people
     nonce: str = ""
     base: str | None = None
-    payload: object = None  # the ledger does not look at it
+    payload: object = None  # the history does not look at it
 
 
 @dataclass(frozen=True)
@@ -102,7 +102,7 @@
         return self.reason in (Reason.WRONG_BASE, Reason.WRONG_DIGEST) and self.offer.base is not None
 
 
-class Ledger:
+class VersionHistory:
     """The state of all versions at one router. What ``offer``, ``accept`` and ``turn_down`` return must be
     sent."""
 
@@ -115,21 +115,23 @@
         self._forgotten_to = 0  # refused numbers up to here may have been forgotten
 
     @classmethod
-    def restored(cls, records: Iterable[Record], start: Record) -> Ledger:
-        """The ledger as kept records tell it; the start's own record where none was in force."""
+    def restored(cls, records: Iterable[Record], start: Record) -> VersionHistory:
+        """The history as kept records tell it; the start's own record where none was in force."""
         kept = list(records)
         forces = [r for r in kept if r.state in (State.IN_FORCE, State.REPLACED)]
-        ledger = cls(replace(forces[-1], state=State.IN_FORCE) if forces else start)
-        ledger.history.clear()
+        versions = cls(replace(forces[-1], state=State.IN_FORCE) if forces else start)
+        versions.history.clear()
         for record in kept:
-            if record.state is not State.TURNED_DOWN and record.number != ledger.in_force.number:
+            if record.state is not State.TURNED_DOWN and record.number != versions.in_force.number:
                 record = replace(record, state=State.REPLACED)
-            ledger.history.append(ledger.in_force if record.number == ledger.in_force.number else record)
-            if record.state is State.TURNED_DOWN and record.number > ledger.in_force.number:
-                ledger._remember(record)
+            versions.history.append(
+                versions.in_force if record.number == versions.in_force.number else record
+            )
+            if record.state is State.TURNED_DOWN and record.number > versions.in_force.number:
+                versions._remember(record)
         if not forces:
-            ledger.history.appendleft(start)
-        return ledger
+            versions.history.appendleft(start)
+        return versions
 
     def offer(self, offer: Offer, now_us: int) -> list[Answer]:
         """Take in a version. No answer for it yet means that it is to be taken up with ``take``."""
--- a/magpieshift/control/keeper.py
+++ b/magpieshift/control/version_manager.py
@@ -1,4 +1,4 @@
-"""The keeper of a running router's versions: takes offers in, carries one after the other out, tells the
+"""The manager of a running router's versions: takes offers in, carries one after the other out, tells the
 outcome.
 
 The order of a version's steps is what its promises rest on: it is read and checked (in a thread), every part
@@ -19,9 +19,9 @@
 from magpieshift.config import Document
 from magpieshift.control import sexp
 from magpieshift.control.content import Full, Overrides, Refused, resolve
-from magpieshift.control.ledger import Answer, Ledger, Offer, Reason, Record, State
 from magpieshift.control.schema import Loaded, to_data
 from magpieshift.control.store import Kept, Store, StoreError
+from magpieshift.control.version_history import Answer, Offer, Reason, Record, State, VersionHistory
 from magpieshift.log import fields
 from magpieshift.transaction import NotPrepared, Prepared, Running
 
@@ -51,20 +51,20 @@
     return time.time_ns() // 1000
 
 
-class Keeper:
-    """Owner of the ledger and of the store; everything that offers versions does it here."""
+class VersionManager:
+    """Owner of the history and of the store; everything that offers versions does it here."""
 
     def __init__(
         self,
         host: Host,
-        ledger: Ledger,
+        versions: VersionHistory,
         data: Mapping[str, Any],
         store: Store | None = None,
         store_trouble: str = "",
         overrides: Overrides | None = None,
         clock: Clock = now_us,
     ) -> None:
-        self._host, self.ledger, self._data, self._store = host, ledger, data, store
+        self._host, self.versions, self._data, self._store = host, versions, data, store
         self._store_trouble = (
             store_trouble  # a store was wanted and is not to be had: nothing can be promised
         )
@@ -85,15 +85,15 @@
         if worker is not None:
             self._wanted.set()
             await worker
-        if (waiting := self.ledger.waiting) is not None:
-            self.ledger.waiting = None
+        if (waiting := self.versions.waiting) is not None:
+            self.versions.waiting = None
             self._tell(Answer(waiting, False, Reason.STOPPING, "the router ends"))
         if self._store is not None:
             self._store.close()
 
     @property
     def in_force(self) -> Record:
-        return self.ledger.in_force
+        return self.versions.in_force
 
     def running(self) -> Mapping[str, Running]:
         return self._host.running()
@@ -102,7 +102,7 @@
         """Take in a version; the outcome goes to the listeners."""
         self.step("received")
         self._arrived.setdefault((offer.number, offer.digest), self._clock())
-        for answer in self.ledger.offer(offer, self._clock()):
+        for answer in self.versions.offer(offer, self._clock()):
             self._tell(answer)
         self._forget_arrivals()
         self._wanted.set()
@@ -117,18 +117,18 @@
         self.offer(Offer(number, loaded.digest, source, payload=Full(sexp.write(loaded.data))))
 
     def _taken_up(self) -> int:
-        offers = (self.ledger.preparing, self.ledger.waiting)
+        offers = (self.versions.preparing, self.versions.waiting)
         return max((offer.number for offer in offers if offer is not None), default=0)
 
     def _forget_arrivals(self) -> None:
         """Only what waits or is prepared has a time of arrival."""
-        held = (self.ledger.preparing, self.ledger.waiting)
+        held = (self.versions.preparing, self.versions.waiting)
         kept = {(offer.number, offer.digest) for offer in held if offer is not None}
         self._arrived = {key: at for key, at in self._arrived.items() if key in kept}
 
     async def _work(self) -> None:
         while self._worker is not None:
-            if (offer := self.ledger.take()) is None:
+            if (offer := self.versions.take()) is None:
                 self._wanted.clear()
                 await self._wanted.wait()
                 continue
@@ -136,7 +136,7 @@
                 await self._carry_out(offer)
             except Exception as err:  # a fault of ours must not end all changes until the next start
                 log.exception("version failed", extra=fields(version=offer.number))
-                if self.ledger.preparing is not None:
+                if self.versions.preparing is not None:
                     await self._turn_down(Reason.RAISED, f"{type(err).__name__}: {err}"[:200])
 
     async def _carry_out(self, offer: Offer) -> None:
@@ -170,7 +170,7 @@
                 return await self._turn_down(Reason.NOT_KEPT, str(err))
         self.step("kept")
         held = time.perf_counter()
-        record, answer = self.ledger.accept(self._clock())
+        record, answer = self.versions.accept(self._clock())
         self._host.commit(prepared, record.number)
         self._data = loaded.data
         pause_us = max(pause_us, int(1e6 * (time.perf_counter() - held)))
@@ -187,7 +187,7 @@
         return None
 
     async def _turn_down(self, reason: Reason, detail: str) -> None:
-        answer = self.ledger.turn_down(reason, detail, self._clock())
+        answer = self.versions.turn_down(reason, detail, self._clock())
         self._tell(answer)
         offer = answer.offer
         if self._store is not None and reason is not Reason.NOT_KEPT:
@@ -230,7 +230,7 @@
         return None, str(err)
 
 
-def first_version(start: Loaded | None, store: Store | None, source: str) -> tuple[Ledger, Loaded]:
+def first_version(start: Loaded | None, store: Store | None, source: str) -> tuple[VersionHistory, Loaded]:
     """What to start with: the newest of the start file's version and the last good one kept. One that was
     kept and cannot be used any more, by a newer program say, is passed over in one line; ``LookupError``
     where nothing is left."""
@@ -249,7 +249,7 @@
         records = [
             kept.record for kept in (store.kept if store else []) if kept.record.number < start.version
         ]
-        return Ledger.restored([*records, record], record), start
+        return VersionHistory.restored([*records, record], record), start
     if usable is None:
         raise LookupError("no settings: neither a file nor a kept version")
     upto = usable[0].record
@@ -259,7 +259,7 @@
         for kept in (store.kept if store else [])
         if kept.record.state is State.TURNED_DOWN or kept.record.number <= upto.number
     ]
-    return Ledger.restored(records, upto), usable[1]
+    return VersionHistory.restored(records, upto), usable[1]
 
 
 def as_loaded(document: Document) -> Loaded:
--- a/magpieshift/installation/following.py
+++ b/magpieshift/installation/following.py
@@ -7,7 +7,7 @@
 
 from magpieshift.app import EdgeRouter
 from magpieshift.control.client import ControlClient
-from magpieshift.control.keeper import Keeper
+from magpieshift.control.version_manager import VersionManager
 from magpieshift.installation.fitting import Plain
 from magpieshift.lifecycle import State
 
@@ -17,8 +17,8 @@
 
     fitting = "control"
 
-    def __init__(self, router: EdgeRouter, keeper: Keeper, service: str, name: str) -> None:
-        self._client = ControlClient(service, keeper, name, secrets.token_hex(4), random.Random())
+    def __init__(self, router: EdgeRouter, manager: VersionManager, service: str, name: str) -> None:
+        self._client = ControlClient(service, manager, name, secrets.token_hex(4), random.Random())
         self._started = False
         router.lifecycle.watchers.append(self._went)
 
--- a/magpieshift/installation/relayed.py
+++ b/magpieshift/installation/relayed.py
@@ -11,9 +11,9 @@
 
 from magpieshift import clock
 from magpieshift.app import EdgeRouter
-from magpieshift.control.keeper import Keeper
-from magpieshift.control.ledger import Answer, Reason
 from magpieshift.control.sexp import Unusable
+from magpieshift.control.version_history import Answer, Reason
+from magpieshift.control.version_manager import VersionManager
 from magpieshift.installation.fitting import Plain
 from magpieshift.lifecycle import State
 from magpieshift.log import fields
@@ -104,24 +104,24 @@
     fitting = "relays"
 
     def __init__(
-        self, router: EdgeRouter, keeper: Keeper, relays: Sequence[Relay], region: str, name: str
+        self, router: EdgeRouter, manager: VersionManager, relays: Sequence[Relay], region: str, name: str
     ) -> None:
-        self._keeper, self._lifecycle = keeper, router.lifecycle
+        self._manager, self._lifecycle = manager, router.lifecycle
         self._follower = Follower(name, secrets.token_hex(4))
-        self._follower.configuration = keeper.in_force.digest
+        self._follower.configuration = manager.in_force.digest
         selection = Selection(rank(name, region, relays), random.Random())
         self._changes = Changes(router, self._follower, selection, self._offer)
         self._early: list[ConfigurationChange] | None = []  # until the router serves
         router.change_source = self._changes
         router.engine.copy_age_limit = self._copy_age_limit
         router.lifecycle.watchers.append(self._went)
-        keeper.listeners.append(self._answered)
+        manager.listeners.append(self._answered)
 
     def calls(self) -> Mapping[str, Callable[[], str]]:
         return {"RELAY": self._line}
 
     async def end(self) -> None:
-        self._keeper.listeners.remove(self._answered)
+        self._manager.listeners.remove(self._answered)
         await self._changes.client.stop()
 
     def _copy_age_limit(self) -> int:
@@ -151,7 +151,7 @@
             self._early = [*(self._early if change.base_digest else []), change]
             return
         try:
-            self._keeper.offer(configuration.offer(change))
+            self._manager.offer(configuration.offer(change))
         except Unusable as err:
             log.warning("version turned down", extra=fields(version=change.number, reason=err))
             self._refuse(change.number, str(err), want_whole=bool(change.base_digest))
@@ -159,7 +159,7 @@
     def _answered(self, answer: Answer, apply_us: int, pause_us: int) -> None:
         """What became of a version, whoever offered it."""
         follower = self._follower
-        follower.configuration = self._keeper.in_force.digest
+        follower.configuration = self._manager.in_force.digest
         if answer.offer.source != configuration.OFFERED_BY:
             return
         if answer.accepted:
--- a/magpieshift/installation/runner.py
+++ b/magpieshift/installation/runner.py
@@ -1,4 +1,4 @@
-"""A router with versioned configuration: wiring of router, keeper, store and control client."""
+"""A router with versioned configuration: wiring of router, manager, store and control client."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 from magpieshift.app import EdgeRouter, serve
 from magpieshift.config import Config, ConfigError, address, parse
 from magpieshift.control.content import Overrides
-from magpieshift.control.keeper import Keeper, as_loaded, first_version, opened
 from magpieshift.control.schema import Loaded, load_text
 from magpieshift.control.sexp import Unusable
+from magpieshift.control.version_manager import VersionManager, as_loaded, first_version, opened
 from magpieshift.installation.fitting import Fitting
 from magpieshift.log import fields
 
@@ -78,14 +78,14 @@
         start, platform = load_any(options.config) if options.config else (None, None)
         store, trouble = opened(options.state) if options.state else (None, "")
         try:
-            ledger, loaded = first_version(start, store, options.config)
+            versions, loaded = first_version(start, store, options.config)
         except LookupError as err:
             raise ConfigError(str(err)) from None
         document = overrides.on(loaded.document)
         seed = platform.seed if platform is not None else secrets.randbits(64)
         known = platform.known if platform is not None else {}
-        self.router = EdgeRouter(Config(document, seed, known, ledger.in_force.number))
-        self.keeper = Keeper(self.router, ledger, loaded.data, store, trouble, overrides)
+        self.router = EdgeRouter(Config(document, seed, known, versions.in_force.number))
+        self.manager = VersionManager(self.router, versions, loaded.data, store, trouble, overrides)
         self._name = document.name
         self.fittings: list[Fitting] = []
         if options.capture or options.hash_key:  # the libraries of each fitting, only where it is used
@@ -100,13 +100,13 @@
         if options.control:
             from magpieshift.installation.following import Following
 
-            self.fittings.append(Following(self.router, self.keeper, options.control, self._name))
+            self.fittings.append(Following(self.router, self.manager, options.control, self._name))
         if options.relays:
             from magpieshift.installation.relayed import Relayed
             from magpieshift.relay.settings import read_relays
 
             relays = read_relays(options.relays, options.region, "relays")
-            self.fittings.append(Relayed(self.router, self.keeper, relays, options.region, self._name))
+            self.fittings.append(Relayed(self.router, self.manager, relays, options.region, self._name))
         if document.members is not None:
             from magpieshift.installation.membership import Membership
 
@@ -138,7 +138,7 @@
         except ConfigError as err:
             log.error("configuration not reloaded", extra=fields(reason=err))
             return
-        self.keeper.offer_file(loaded, self._options.config)
+        self.manager.offer_file(loaded, self._options.config)
 
     async def run(self, prepared: Callable[[Installation], None] = lambda installation: None) -> None:
         """Serve until the router is stopped."""
@@ -146,14 +146,14 @@
         sys.setswitchinterval(SWITCH_S)
         for fitting in self.fittings:
             fitting.start()
-        self.keeper.start()
+        self.manager.start()
         ending = asyncio.ensure_future(self._end_with())
         try:
             await serve(self.router, self.reload)
         finally:
             if not self.router.ending:  # it never came to serve
                 ending.cancel()
-                await self.keeper.stop()
+                await self.manager.stop()
             await asyncio.wait([ending])
             for fitting in reversed(self.fittings):
                 await fitting.end()
@@ -161,7 +161,7 @@
     async def _end_with(self) -> None:
         """Nothing else changes while the router drains."""
         await self.router.stopping()
-        await self.keeper.stop()
+        await self.manager.stop()
 
 
 def run(options: Options, prepared: Callable[[Installation], None] = lambda installation: None) -> None:
--- a/magpieshift/lab/capacity/roles/control.py
+++ b/magpieshift/lab/capacity/roles/control.py
@@ -16,9 +16,9 @@
 from magpieshift.control import sexp
 from magpieshift.control.client import METHOD
 from magpieshift.control.client import OPTIONS as CLIENT_OPTIONS
-from magpieshift.control.ledger import Answer, Offer, Record, State
 from magpieshift.control.publisher import read_folder
 from magpieshift.control.session import RouterSession
+from magpieshift.control.version_history import Answer, Offer, Record, State
 from magpieshift.lab.capacity import fleet
 from magpieshift.lab.capacity.documents import changed, settings
 from magpieshift.lab.capacity.processor import processor_s, resident_mb, spending
--- a/magpieshift/lab/capacity/roles/versions.py
+++ b/magpieshift/lab/capacity/roles/versions.py
@@ -9,7 +9,7 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.content import Full
-from magpieshift.control.ledger import Answer, Offer
+from magpieshift.control.version_history import Answer, Offer
 from magpieshift.installation.runner import Installation, Options
 from magpieshift.lab.capacity import fleet
 from magpieshift.lab.capacity.documents import changed, settings
@@ -53,14 +53,14 @@
             start = world.write_settings(Path(folder))
             installation = Installation(Options(str(start), os.path.join(folder, "state")))
             installation.router.start()
-            installation.keeper.start()
+            installation.manager.start()
             try:
                 async with asyncio.timeout(30):
                     while installation.router.engine.listed < caches + 1:
                         await asyncio.sleep(0.01)
                 spent_s = await self._put_in_force(installation, world.settings())
             finally:
-                await installation.keeper.stop()
+                await installation.manager.stop()
                 installation.router.close()
                 world.stop()
         return Sample(caches, {"processor": 1e3 * spent_s / VERSIONS})
@@ -69,14 +69,14 @@
     async def _put_in_force(installation: Installation, data: dict[str, object]) -> float:
         """Processor seconds of all versions, one after another."""
         done: asyncio.Queue[Answer] = asyncio.Queue()
-        installation.keeper.listeners.append(lambda answer, apply_us, pause_us: done.put_nowait(answer))
+        installation.manager.listeners.append(lambda answer, apply_us, pause_us: done.put_nowait(answer))
         offers = []
         for number in range(1, VERSIONS + 1):
             document = changed(data, number)
             offers.append(Offer(number, sexp.digest(document), "lab", payload=Full(sexp.write(document))))
         with spending() as spent:
             for offer in offers:
-                installation.keeper.offer(offer)
+                installation.manager.offer(offer)
                 answer = await done.get()
                 if not answer.accepted:
                     raise RuntimeError(f"version {offer.number} was turned down: {answer.detail}")
--- a/magpieshift/lab/experiments/apply.py
+++ b/magpieshift/lab/experiments/apply.py
@@ -23,7 +23,7 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.content import Full
-from magpieshift.control.ledger import Answer, Offer
+from magpieshift.control.version_history import Answer, Offer
 from magpieshift.installation.runner import SWITCH_S, Installation, Options
 from magpieshift.lab.standins.world import World
 
@@ -82,15 +82,15 @@
     with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as folder:
         start = world.write_settings(Path(folder))
         installation = Installation(Options(str(start), os.path.join(folder, "state")))
-        router, keeper = installation.router, installation.keeper
+        router, manager = installation.router, installation.manager
         router.start()
-        keeper.start()
+        manager.start()
         engine = router.engine
         async with asyncio.timeout(30):
             while engine.listed < members + 1:
                 await asyncio.sleep(0.01)
         done: asyncio.Queue[tuple[Answer, int, int]] = asyncio.Queue()
-        keeper.listeners.append(lambda *told: done.put_nowait(told))
+        manager.listeners.append(lambda *told: done.put_nowait(told))
         kind = QUIET
 
         async def tick() -> None:
@@ -112,7 +112,7 @@
         ticking = asyncio.ensure_future(tick())
         for kind, offer in offers:  # noqa: B007  # the ticker reads it
             began = time.perf_counter()
-            keeper.offer(offer)
+            manager.offer(offer)
             answer, apply_us, pause_us = await done.get()
             if not answer.accepted:
                 raise RuntimeError(f"version {offer.number}: {answer.detail}")
@@ -122,7 +122,7 @@
             kind = QUIET
             await asyncio.sleep(took)
         ticking.cancel()
-        await keeper.stop()
+        await manager.stop()
         router.close()
         world.stop()
     return figures
--- a/magpieshift/lab/experiments/version_checks.py
+++ b/magpieshift/lab/experiments/version_checks.py
@@ -5,10 +5,10 @@
 import asyncio
 
 from magpieshift.app import expected
-from magpieshift.control.ledger import PASSING, Reason
 from magpieshift.control.publisher import Subscriber
 from magpieshift.control.schema import Loaded
 from magpieshift.control.session import running_digests
+from magpieshift.control.version_history import PASSING, Reason
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.lab.experiments.version_report import Report
 
--- a/magpieshift/lab/scale/hollow.py
+++ b/magpieshift/lab/scale/hollow.py
@@ -16,9 +16,9 @@
 from magpieshift.config import Address, Document
 from magpieshift.control.client import ControlClient
 from magpieshift.control.content import Overrides
-from magpieshift.control.keeper import Keeper, now_us
-from magpieshift.control.ledger import Answer, Ledger, Record, State
 from magpieshift.control.schema import Loaded
+from magpieshift.control.version_history import Answer, Record, State, VersionHistory
+from magpieshift.control.version_manager import VersionManager, now_us
 from magpieshift.core.engine import Engine, Exchange
 from magpieshift.core.model import Member, Order, Result
 from magpieshift.core.numbers import aligned
@@ -122,7 +122,7 @@
         )
         self.engine.tap = tap
         first = Record(0, loaded.digest, "start", State.IN_FORCE, now_us())
-        self.keeper = Keeper(self, Ledger(first), loaded.data, overrides=overrides)
+        self.manager = VersionManager(self, VersionHistory(first), loaded.data, overrides=overrides)
         self.lifecycle = Lifecycle(LoopClock().now_us)
         self.changes = ChangeLog(self.document.names, self)
         self.change_log = FeedClient(self.document.changelog, self.changes, seed)
@@ -168,7 +168,7 @@
         self._feed = feed
         self.changes.known(known)
         self.engine.flush()
-        self.keeper.start()
+        self.manager.start()
         feed.start()
 
     async def crash(self) -> None:
@@ -176,7 +176,7 @@
         self._crashed = True
         if self._feed is not None:
             await self._feed.crash()
-        await self.keeper.stop()
+        await self.manager.stop()
 
 
 class DirectFeed:
@@ -186,7 +186,7 @@
         self._log = router.change_log
         host, port = control
         boot = f"{router.seed:08x}"
-        self._control = ControlClient(f"{host}:{port}", router.keeper, router.name, boot, rand)
+        self._control = ControlClient(f"{host}:{port}", router.manager, router.name, boot, rand)
 
     @property
     def connected(self) -> bool:
@@ -201,11 +201,11 @@
         await self._control.stop()
 
 
-def on_version(keeper: Keeper, told: Callable[[int], None]) -> None:
+def on_version(manager: VersionManager, told: Callable[[int], None]) -> None:
     """Call ``told`` with the number of each version that comes into force."""
 
     def heard(answer: Answer, apply_us: int, pause_us: int) -> None:
         if answer.accepted:
             told(answer.offer.number)
 
-    keeper.listeners.append(heard)
+    manager.listeners.append(heard)
--- a/magpieshift/lab/scale/relayed.py
+++ b/magpieshift/lab/scale/relayed.py
@@ -18,7 +18,7 @@
     def __init__(self, router: HollowRouter, relays: Sequence[Relay], region: str) -> None:
         """The fitting uses of its router only what a hollow one has."""
         self._router = router
-        self._relayed = Relayed(cast(EdgeRouter, router), router.keeper, relays, region, router.name)
+        self._relayed = Relayed(cast(EdgeRouter, router), router.manager, relays, region, router.name)
         self._client = cast(Changes, router.change_source).client
 
     @property
--- a/magpieshift/lab/scale/worker.py
+++ b/magpieshift/lab/scale/worker.py
@@ -87,7 +87,7 @@
         overrides = At(place.name, changelog=(LOOPBACK, place.log_port))
         seed = random.Random(place.name).getrandbits(32)
         router = HollowRouter(place.name, self._loaded, overrides, seed, PurgeWatch(purged, self._drop_every))
-        on_version(router.keeper, lambda number: applied.in_force(number, time.monotonic()))
+        on_version(router.manager, lambda number: applied.in_force(number, time.monotonic()))
         return Live(router, applied, _feed(router, place))
 
     async def crash(self, names: Sequence[str]) -> None:
--- a/magpieshift/relay/configuration.py
+++ b/magpieshift/relay/configuration.py
@@ -9,14 +9,14 @@
 
 from magpieshift.control import sexp
 from magpieshift.control.content import Delta, Full, content_digest
-from magpieshift.control.ledger import Offer
 from magpieshift.control.publisher import Published
 from magpieshift.control.session import read_changes, write_changes
 from magpieshift.control.sexp import Problem, Unusable
+from magpieshift.control.version_history import Offer
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.relay.messages import ConfigurationChange
 
-OFFERED_BY = "relay"  # the source of offers, in the ledger
+OFFERED_BY = "relay"  # the source of offers, in the history
 
 
 def entry(previous: Published | None, version: Published) -> ConfigurationChange:
@@ -44,7 +44,7 @@
 
 
 def offer(change: ConfigurationChange) -> Offer:
-    """What a router's ledger is offered; ``Unusable`` where the content cannot be read."""
+    """What is offered to a router's versions; ``Unusable`` where the content cannot be read."""
     if not change.base_digest:
         text = change.content.decode(errors="replace")
         return Offer(change.number, change.digest, OFFERED_BY, payload=Full(text))
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -1,4 +1,4 @@
-"""The control channel over real gRPC on loopback: a keeper on a router of the test's own, and a control
+"""The control channel over real gRPC on loopback: a manager on a router of the test's own, and a control
 service that dies, forgets, steps back, and sends what is no version."""
 
 import asyncio
@@ -18,12 +18,12 @@
 from magpieshift.control import sexp, store
 from magpieshift.control.backoff import FIRST_S, MOST_S, STEADY_S, Backoff
 from magpieshift.control.client import ControlClient
-from magpieshift.control.keeper import Keeper, first_version
-from magpieshift.control.ledger import Answer, Offer, Reason, Record, State
 from magpieshift.control.publisher import Published, Publisher
 from magpieshift.control.schema import load_text
 from magpieshift.control.service import ControlService, Stream
 from magpieshift.control.session import RouterSession
+from magpieshift.control.version_history import Answer, Offer, Reason, Record, State
+from magpieshift.control.version_manager import VersionManager, first_version
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.transaction import Prepared, Running, prepare
 from tests.real.exchange import PATIENCE_S, ROOT
@@ -67,33 +67,33 @@
         self.folder, self.router, self.service = Path(folder.name), FakeRouter(), ControlService()
         self.answers: list[Answer] = []
         self.heard: list[wire.FromRouter] = []
-        self.keeper = self.new_keeper()
+        self.manager = self.new_manager()
         await self.service.start("127.0.0.1:0")
         self.port = self.service.port
         self.service.heard = lambda stream, data: self.heard.append(wire.FromRouter.FromString(data))
-        self.client = ControlClient(f"127.0.0.1:{self.port}", self.keeper, "r1", "b1", random.Random(1))
+        self.client = ControlClient(f"127.0.0.1:{self.port}", self.manager, "r1", "b1", random.Random(1))
         self.quiet = (
-            mock.patch("magpieshift.control.keeper.log"),
+            mock.patch("magpieshift.control.version_manager.log"),
             mock.patch("magpieshift.control.client.log"),
         )
         for patch in self.quiet:
             patch.start()
             self.addCleanup(patch.stop)
-        self.keeper.start()
+        self.manager.start()
         self.client.start()
         await self.until(lambda: bool(self.service.streams) and self.heard != [])
 
     async def asyncTearDown(self) -> None:
         await self.client.stop()
-        await self.keeper.stop()
+        await self.manager.stop()
         await self.service.stop()
 
-    def new_keeper(self) -> Keeper:
+    def new_manager(self) -> VersionManager:
         kept = store.Store(self.folder)
-        ledger, loaded = first_version(START, kept, "test")
-        keeper = Keeper(self.router, ledger, loaded.data, kept)
-        keeper.listeners.append(lambda answer, apply_us, pause_us: self.answers.append(answer))
-        return keeper
+        versions, loaded = first_version(START, kept, "test")
+        manager = VersionManager(self.router, versions, loaded.data, kept)
+        manager.listeners.append(lambda answer, apply_us, pause_us: self.answers.append(answer))
+        return manager
 
     async def until(self, what: Callable[[], bool]) -> None:
         async with asyncio.timeout(PATIENCE_S):
@@ -156,7 +156,7 @@
     async def test_the_service_dies_before_the_acknowledgement(self) -> None:
         self.router.hold = asyncio.Event()
         self.service.publish(version(1))
-        await self.until(lambda: self.keeper.ledger.preparing is not None)
+        await self.until(lambda: self.manager.versions.preparing is not None)
         publisher = self.service.publisher
         await self.service.stop()
         self.router.hold.set()
@@ -184,7 +184,7 @@
     async def test_two_come_while_one_is_prepared(self) -> None:
         self.router.hold = asyncio.Event()
         self.service.publish(version(1))
-        await self.until(lambda: self.keeper.ledger.preparing is not None)
+        await self.until(lambda: self.manager.versions.preparing is not None)
         self.service.publish(version(2))
         self.service.publish(version(3))
         self.assertEqual(Reason((await self.answer_to(2)).reason), Reason.SUPERSEDED)
@@ -195,7 +195,7 @@
     async def test_an_answer_to_an_old_nonce_says_nothing_of_what_was_sent_since(self) -> None:
         self.router.hold = asyncio.Event()
         self.service.publish(version(1))
-        await self.until(lambda: self.keeper.ledger.preparing is not None)
+        await self.until(lambda: self.manager.versions.preparing is not None)
         self.service.publish(version(2))
         self.router.hold.set()
         await self.answer_to(2)
@@ -243,7 +243,7 @@
         """Its machine has vanished: connections stay open, and nothing comes. Keep-alive finds out."""
         silent = await asyncio.start_server(self._swallow, "127.0.0.1", 0)
         other = ControlClient(
-            f"127.0.0.1:{silent.sockets[0].getsockname()[1]}", self.keeper, "r1", "b1", random.Random(1)
+            f"127.0.0.1:{silent.sockets[0].getsockname()[1]}", self.manager, "r1", "b1", random.Random(1)
         )
         lost = asyncio.Event()
 
@@ -286,11 +286,14 @@
             for number, text in ((1, version(1).text), (2, "(magpieshift (of another age))")):
                 record = Record(number, version(1).digest, "t", State.IN_FORCE, 1)
                 kept.append(store.Kept(record, text))
-            with self.assertLogs("magpieshift.control.keeper", "ERROR"):
-                ledger, loaded = first_version(None, kept, "")
-            self.assertEqual((ledger.in_force.number, loaded.digest), (1, version(1).digest))
+            with self.assertLogs("magpieshift.control.version_manager", "ERROR"):
+                versions, loaded = first_version(None, kept, "")
+            self.assertEqual((versions.in_force.number, loaded.digest), (1, version(1).digest))
             higher = load_text(TEXT.replace("(magpieshift", "(magpieshift (version 9)", 1))
-            with self.assertNoLogs(level=logging.ERROR), mock.patch("magpieshift.control.keeper.log"):
+            with (
+                self.assertNoLogs(level=logging.ERROR),
+                mock.patch("magpieshift.control.version_manager.log"),
+            ):
                 self.assertEqual(first_version(higher, kept, "file")[0].in_force.number, 9)
             kept.close()
         with self.assertRaises(LookupError):
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from magpieshift.control import sexp, store
-from magpieshift.control.ledger import Record, State
 from magpieshift.control.publisher import Published
 from magpieshift.control.schema import load_data, to_data
 from magpieshift.control.service import ControlService
+from magpieshift.control.version_history import Record, State
 from magpieshift.lab.experiments.versions import Plan, play
 from magpieshift.lab.standins import peers
 from tests.control.test_documents import EXAMPLE
@@ -32,7 +32,7 @@
     if name == sys.argv[1] and installation.router.version == 1 + (name in ("committed", "answered")):
         os.kill(os.getpid(), signal.SIGKILL)
 def prepared(installation):
-    installation.keeper.step = lambda name: at(name, installation)
+    installation.manager.step = lambda name: at(name, installation)
 runner.run = lambda options: plain(options, prepared)
 main.run(sys.argv[2:])
 """
--- a/tests/control/test_store.py
+++ b/tests/control/test_store.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 
 from magpieshift.control import store
-from magpieshift.control.ledger import Reason, Record, State
 from magpieshift.control.store import KEPT, Kept, Store, StoreError
+from magpieshift.control.version_history import Reason, Record, State
 
 
 def force(number: int) -> Kept:
--- a/tests/control/test_ledger.py
+++ b/tests/control/test_version_history.py
@@ -1,4 +1,4 @@
-"""The ledger: each rule by itself, and random histories against a model that only remembers everything."""
+"""The history: each rule by itself, and random histories against a model that only remembers everything."""
 
 import unittest
 from typing import Any
@@ -7,16 +7,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from magpieshift.control.ledger import (
+from magpieshift.control.version_history import (
     MOST_HISTORY,
     MOST_REFUSED,
     PASSING,
     Answer,
-    Ledger,
     Offer,
     Reason,
     Record,
     State,
+    VersionHistory,
 )
 
 START = Record(3, "c", "start", State.IN_FORCE, 0)
@@ -28,95 +28,95 @@
 
 class Ledgers(unittest.TestCase):
     def setUp(self) -> None:
-        self.ledger = Ledger(START)
+        self.versions = VersionHistory(START)
 
     def refused(self, what: Offer) -> Reason:
-        (answer,) = self.ledger.offer(what, 1)
+        (answer,) = self.versions.offer(what, 1)
         self.assertFalse(answer.accepted)
         return answer.reason
 
     def accept(self, what: Offer) -> Record:
-        self.assertEqual(self.ledger.offer(what, 1), [])
-        self.assertEqual(self.ledger.take(), what)
-        record, answer = self.ledger.accept(2)
+        self.assertEqual(self.versions.offer(what, 1), [])
+        self.assertEqual(self.versions.take(), what)
+        record, answer = self.versions.accept(2)
         self.assertEqual(answer, Answer(what, True))
         return record
 
     def test_numbers(self) -> None:
-        self.assertEqual(self.ledger.offer(offer(3, "c"), 1), [Answer(offer(3, "c"), True)])  # a repeat
-        self.assertIsNone(self.ledger.take())  # for which nothing is done
+        self.assertEqual(self.versions.offer(offer(3, "c"), 1), [Answer(offer(3, "c"), True)])  # a repeat
+        self.assertIsNone(self.versions.take())  # for which nothing is done
         self.assertEqual(self.refused(offer(3, "other")), Reason.CONFLICT)
         self.assertEqual(self.refused(offer(2)), Reason.BACKWARD)
         for number in (0, -1, 1 << 63):
             self.assertEqual(self.refused(offer(number)), Reason.NUMBER)
         self.assertEqual(self.accept(offer(4)).skipped, 0)
         self.assertEqual(self.accept(offer(9)).skipped, 4)  # a gap is noted
-        self.assertEqual([r.state for r in self.ledger.history if r.number == 4], [State.REPLACED])
+        self.assertEqual([r.state for r in self.versions.history if r.number == 4], [State.REPLACED])
 
     def test_a_version_turned_down_stays_so_unless_the_reason_has_passed(self) -> None:
         for number, reason, again in ((5, Reason.INVALID, False), (6, Reason.LATE, True)):
-            self.ledger.offer(offer(number), 1)
-            self.ledger.take()
-            self.assertEqual(self.ledger.turn_down(reason, "why", 2).detail, "why")
-            self.assertEqual(self.ledger.in_force, START)
+            self.versions.offer(offer(number), 1)
+            self.versions.take()
+            self.assertEqual(self.versions.turn_down(reason, "why", 2).detail, "why")
+            self.assertEqual(self.versions.in_force, START)
             if again:
-                self.assertEqual(self.ledger.offer(offer(number), 3), [])
-                self.ledger.take()
+                self.assertEqual(self.versions.offer(offer(number), 3), [])
+                self.versions.take()
             else:
                 self.assertEqual(
-                    self.ledger.offer(offer(number), 3), [Answer(offer(number), False, reason, "why")]
+                    self.versions.offer(offer(number), 3), [Answer(offer(number), False, reason, "why")]
                 )
                 self.assertEqual(self.refused(offer(number, "y")), Reason.CONFLICT)
 
     def test_two_come_while_one_is_prepared(self) -> None:
-        self.ledger.offer(offer(4), 1)
-        self.ledger.take()
-        self.assertEqual(self.ledger.offer(offer(5), 1), [])
-        (late,) = self.ledger.offer(offer(6), 1)
+        self.versions.offer(offer(4), 1)
+        self.versions.take()
+        self.assertEqual(self.versions.offer(offer(5), 1), [])
+        (late,) = self.versions.offer(offer(6), 1)
         self.assertEqual((late.offer.number, late.reason), (5, Reason.SUPERSEDED))
-        (late,) = self.ledger.offer(offer(5), 1)
+        (late,) = self.versions.offer(offer(5), 1)
         self.assertEqual((late.offer.number, late.reason), (5, Reason.SUPERSEDED))
-        self.assertIsNone(self.ledger.take())
+        self.assertIsNone(self.versions.take())
         self.assertEqual(self.refused(offer(4, "other")), Reason.CONFLICT)
-        self.ledger.accept(2)
-        self.assertEqual(self.ledger.take(), offer(6))
+        self.versions.accept(2)
+        self.assertEqual(self.versions.take(), offer(6))
 
     def test_sent_again_while_prepared_it_is_answered_to_the_newest_nonce(self) -> None:
-        self.ledger.offer(offer(4, nonce="old"), 1)
-        self.ledger.take()
-        self.assertEqual(self.ledger.offer(offer(4, nonce="new"), 1), [])
-        self.assertEqual(self.ledger.accept(2)[1].offer.nonce, "new")
-        self.assertIsNone(self.ledger.take())
+        self.versions.offer(offer(4, nonce="old"), 1)
+        self.versions.take()
+        self.assertEqual(self.versions.offer(offer(4, nonce="new"), 1), [])
+        self.assertEqual(self.versions.accept(2)[1].offer.nonce, "new")
+        self.assertIsNone(self.versions.take())
 
     def test_a_flood_of_bad_versions_is_bounded_and_hides_nothing(self) -> None:
         for number in range(4, 4 + 3 * MOST_REFUSED):
-            self.ledger.offer(offer(number), 1)
-            self.ledger.take()
-            self.ledger.turn_down(Reason.INVALID, "", 1)
-        self.assertEqual(len(self.ledger._refused), MOST_REFUSED)
-        self.assertEqual(len(self.ledger.history), MOST_HISTORY)
-        self.assertIn(START, self.ledger.history)
+            self.versions.offer(offer(number), 1)
+            self.versions.take()
+            self.versions.turn_down(Reason.INVALID, "", 1)
+        self.assertEqual(len(self.versions._refused), MOST_REFUSED)
+        self.assertEqual(len(self.versions.history), MOST_HISTORY)
+        self.assertIn(START, self.versions.history)
         self.assertEqual(self.refused(offer(5)), Reason.BACKWARD)  # long forgotten, and not taken for new
 
     def test_restored_it_answers_as_before(self) -> None:
         self.accept(offer(4, "d"))
-        self.ledger.offer(offer(6), 1)
-        self.ledger.take()
-        self.ledger.turn_down(Reason.AT_START, "listen", 2)
-        again = Ledger.restored(
-            [r for r in self.ledger.history if r is not START], Record(0, "", "", State.IN_FORCE, 0)
+        self.versions.offer(offer(6), 1)
+        self.versions.take()
+        self.versions.turn_down(Reason.AT_START, "listen", 2)
+        again = VersionHistory.restored(
+            [r for r in self.versions.history if r is not START], Record(0, "", "", State.IN_FORCE, 0)
         )
-        self.assertEqual(again.in_force, self.ledger.in_force)
+        self.assertEqual(again.in_force, self.versions.in_force)
         for what in (offer(4, "d"), offer(6), offer(6, "z"), offer(2), offer(7)):
-            self.assertEqual(again.offer(what, 5), self.ledger.offer(what, 5))
+            self.assertEqual(again.offer(what, 5), self.versions.offer(what, 5))
 
 
 class Histories(RuleBasedStateMachine):
-    """The model keeps every version ever judged; the ledger must never disagree with it."""
+    """The model keeps every version ever judged; the history must never disagree with it."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.ledger = Ledger(START)
+        self.versions = VersionHistory(START)
         self.force = (3, "c")
         self.forces = [self.force]
         self.judged: dict[int, tuple[str, Reason]] = {}
@@ -131,8 +131,8 @@
     @rule(number=st.integers(-1, 12), digest=st.sampled_from("cd"))
     def offers(self, number: int, digest: str) -> None:
         self.nonce += 1
-        what, before = offer(number, digest, nonce=str(self.nonce)), self.ledger.preparing
-        answers = self.ledger.offer(what, self.nonce)
+        what, before = offer(number, digest, nonce=str(self.nonce)), self.versions.preparing
+        answers = self.versions.offer(what, self.nonce)
         mine = [a for a in answers if a.offer is what]
         accepted = bool(mine) and mine[0].accepted
         if (number, digest) == self.force:
@@ -155,14 +155,14 @@
 
     @rule()
     def takes(self) -> None:
-        busy, waiting = self.ledger.preparing, self.ledger.waiting
-        taken = self.ledger.take()
+        busy, waiting = self.versions.preparing, self.versions.waiting
+        taken = self.versions.take()
         assert taken is (None if busy else waiting)
 
     @rule()
     def accepts(self) -> None:
-        if (taken := self.ledger.preparing) is not None:
-            record, answer = self.ledger.accept(self.nonce)
+        if (taken := self.versions.preparing) is not None:
+            record, answer = self.versions.accept(self.nonce)
             self.answered([answer])
             self.force = (taken.number, taken.digest)
             assert (record.number, record.digest) == self.force
@@ -171,17 +171,17 @@
 
     @rule(reason=st.sampled_from([Reason.INVALID, Reason.AT_START, Reason.LATE, Reason.NOT_KEPT]))
     def turns_down(self, reason: Reason) -> None:
-        if (taken := self.ledger.preparing) is not None:
-            self.answered([self.ledger.turn_down(reason, "", self.nonce)])
+        if (taken := self.versions.preparing) is not None:
+            self.answered([self.versions.turn_down(reason, "", self.nonce)])
             if reason not in PASSING:
                 self.judged[taken.number] = (taken.digest, reason)
 
     @invariant()
     def agrees(self) -> None:
-        assert (self.ledger.in_force.number, self.ledger.in_force.digest) == self.force
+        assert (self.versions.in_force.number, self.versions.in_force.digest) == self.force
         assert [n for n, _ in self.forces] == sorted({n for n, _ in self.forces}), "numbers only rise"
-        assert [r for r in self.ledger.history if r.state is State.IN_FORCE] == [self.ledger.in_force]
-        held = [o for o in (self.ledger.preparing, self.ledger.waiting) if o is not None]
+        assert [r for r in self.versions.history if r.state is State.IN_FORCE] == [self.versions.in_force]
+        held = [o for o in (self.versions.preparing, self.versions.waiting) if o is not None]
         assert sorted(o.nonce for o in held) == sorted(o.nonce for o in self.open), "each offer is answered"
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -80,7 +80,7 @@
             "import magpieshift.app",
             "from magpieshift.app import EdgeRouter",
             "from magpieshift import app",
-            "def late():\n    from magpieshift.control import keeper",
+            "def late():\n    from magpieshift.control import version_manager",
         ):
             with self.subTest(line):
                 self.assertEqual(len(upward(sources | {"magpieshift.core.odd": line})), 1)
