Read each version in the control service's folder once, not at every look

Ruled out: publishing, which takes new versions only.

Change: files whose numbers are known are passed over before they are read.

The look at a start still reads all of them.

--- a/magpieshift/control/publisher.py
+++ b/magpieshift/control/publisher.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -139,12 +139,14 @@
         return bytes(wire.FromControl(version=message).SerializeToString())
 
 
-def read_folder(folder: str | Path, above: int = -1) -> list[Published]:
-    """The versions in a folder's files ``NUMBER.sexp`` with numbers above one, in order; other files are
-    passed over."""
+def read_folder(folder: str | Path, above: int = -1, known: Collection[int] = ()) -> list[Published]:
+    """The versions in a folder's files ``NUMBER.sexp`` with numbers above one and not known, in order; other
+    files are not read."""
     found = []
     for path in Path(folder).iterdir():
         match = VERSION_FILE.fullmatch(path.name)
-        if match and int(match[1]) > above and path.is_file():
-            found.append(Published.of(int(match[1]), path.read_text(encoding="utf-8", errors="replace")))
+        if match is None or (number := int(match[1])) <= above or number in known:
+            continue
+        if path.is_file():
+            found.append(Published.of(number, path.read_text(encoding="utf-8", errors="replace")))
     return sorted(found, key=lambda version: version.number)
--- a/magpieshift/control/service.py
+++ b/magpieshift/control/service.py
@@ -157,4 +157,4 @@
 def _unread(folder: str, told: set[int]) -> list[Published]:
     if not Path(folder).is_dir():
         return []
-    return [version for version in read_folder(folder) if version.number not in told]
+    return read_folder(folder, known=told)
--- /dev/null
+++ b/tests/control/test_folder.py
@@ -0,0 +1,37 @@
+"""A folder of versions: what is read of it, and what is not read again."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from magpieshift.control import publisher
+from magpieshift.control.publisher import read_folder
+
+
+class Folders(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.home = Path(folder.name)
+        for number in (1, 2, 10):
+            (self.home / f"{number}.sexp").write_text(f"(version {number})")
+        (self.home / "notes.txt").write_text("no version")
+
+    def read(self, known: set[int]) -> tuple[list[int], int]:
+        """The numbers that were found, and how many files were read for them."""
+        with mock.patch.object(publisher.Published, "of", wraps=publisher.Published.of) as reading:
+            found = [version.number for version in read_folder(self.home, known=known)]
+        return found, reading.call_count
+
+    def test_versions_come_in_order_of_their_numbers(self) -> None:
+        self.assertEqual(self.read(set()), ([1, 2, 10], 3))
+
+    def test_what_is_known_is_not_read_again(self) -> None:
+        """Each look read and parsed every version kept: 4 ms each, several times a second."""
+        self.assertEqual(self.read({1, 10}), ([2], 1))
+        self.assertEqual(self.read({1, 2, 10}), ([], 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
