--- a/magpieshift/cli/capacity.py
+++ b/magpieshift/cli/capacity.py
@@ -44,7 +44,10 @@
     help="Only this role, or all with this before the colon; may be given again.",
 )  # fmt: skip
 @click.option("--list", "listing", is_flag=True, help="Name the roles, and measure nothing.")
-@click.option("--quick", is_flag=True, help="Fewer sizes, once each: a trial, not a result.")
+@click.option(
+    "--quick", is_flag=True,
+    help="A trial, not a result: fewer sizes, once each, without sources and relays.",
+)  # fmt: skip
 @click.option(
     "--seed", default=1, show_default=True, type=SEED, help="Of the order of turns and of what is told."
 )
@@ -70,6 +73,8 @@
     if listing:
         return show.rows([{"role": r.name, "by": r.by, "target": r.target} for r in roles], as_json)
     chosen = [role for role in roles if not names or {role.name, _group(role.name)} & set(names)]
+    if quick and names and (without := [role.name for role in chosen if not role.quick_sizes]):
+        raise ConfigError(f"--quick: found {without[0]!r}, expected a role that has a trial; leave it out")
     began = time.monotonic()
     turns = measure.take_turns(chosen, seed, quick, measure.on_terminal)
     measure.on_terminal("")
--- a/magpieshift/lab/capacity/arithmetic.py
+++ b/magpieshift/lab/capacity/arithmetic.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from magpieshift.feed.client import MOST_PAUSE_S, SILENCE_S
@@ -65,6 +66,26 @@
     )
 
 
+def control_machines(results: Results) -> str:
+    """How many relays carry all routers within the budget of one core, and with two of them gone."""
+    relay = _newest(results, "fan-out: relay", "processor")
+    if relay is None or relay.budget is None or relay.slope is None or relay.intercept is None:
+        return f"Relays needed: {UNMEASURED}."
+    if relay.exponent != 1:
+        return "The cost of a follower did not come out linear, so nothing is said of the relays needed."
+    each = (relay.budget - relay.intercept) / relay.slope
+    needed = math.ceil(fleet.ROUTERS / each)
+    left = fleet.CONTROL_MACHINES - 2
+    spread = fleet.ROUTERS / left
+    percent = relay.intercept + relay.slope * spread
+    return (
+        f"A relay has {each:.0f} routers within {relay.budget:g}% of a core (fitted), so {needed} relays"
+        f" carry {fleet.ROUTERS:,}, and {needed + 2} with any two gone, if routers are spread over all that"
+        f" are left. With {fleet.CONTROL_MACHINES} relays and two gone that is {spread:.0f} routers each and"
+        f" {percent:.0f}% of a core (fitted)."
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Failure:
     """What fails, what that costs, what is promised meanwhile, and on what the cost rests."""
--- a/magpieshift/lab/capacity/page.py
+++ b/magpieshift/lab/capacity/page.py
@@ -53,6 +53,7 @@
     "ranking": tables.ranking,
     "superlinear": tables.superlinear,
     "arithmetic": arithmetic.data_path,
+    "control-machines": arithmetic.control_machines,
     "failures": arithmetic.failures,
 }
 
--- a/magpieshift/lab/capacity/role.py
+++ b/magpieshift/lab/capacity/role.py
@@ -37,7 +37,7 @@
 
     ``name`` is the role's, ``by`` the quantity that grows, ``target`` what the target fleet has of it.
     ``simulated`` is set where state machines run on a simulated clock and network. ``repeats`` counts the
-    measurements of each size.
+    measurements of each size. ``quick_sizes`` are those of a trial; none where even that takes long.
     """
 
     @property
--- a/magpieshift/lab/capacity/roles/relays.py
+++ b/magpieshift/lab/capacity/roles/relays.py
@@ -207,7 +207,7 @@
     by = "routers"
     target = float(fleet.ROUTERS // fleet.REGIONS)
     sizes = (15.0, 30.0, 60.0, 120.0, 240.0)
-    quick_sizes = (8.0, 15.0, 30.0, 60.0)
+    quick_sizes = ()  # too long for a trial
     repeats = 2
     simulated = False
     resources = FOLLOWED
@@ -257,7 +257,7 @@
     by = "purges a second"
     target = float(fleet.PURGES_PER_S)
     sizes = (1.0, 27.0, 55.0, 110.0, 220.0, 440.0)
-    quick_sizes = (1.0, 27.0, 55.0, 110.0)
+    quick_sizes = ()  # too long for a trial
     repeats = 2
     simulated = False
     resources = (PROCESSOR, MEMORY, RESIDENT)
--- a/tests/capacity/test_command.py
+++ b/tests/capacity/test_command.py
@@ -20,6 +20,7 @@
         for words, place in (
             (("--role", "router: purge"), "--role: found 'router: purge'"),
             (("--seed", "x"), "--seed: found 'x'"),
+            (("--quick", "--role", "fan-out: relay"), "--quick: found 'fan-out: relay'"),
             (("--save", "/nowhere/at/all.json"), "--save: found '/nowhere/at/all.json'"),
             (("--router", "/nowhere"), "--router: found '/nowhere'"),
         ):
