--- a/magpieshift/lab/capacity/measure.py
+++ b/magpieshift/lab/capacity/measure.py
@@ -107,7 +107,7 @@
     try:
         return turn.role.measure(turn.size, turn.seed, turn.for_s)
     except (OSError, RuntimeError) as err:  # a timeout is an OSError
-        return f"{type(err).__name__}: {err}"
+        return f"{type(err).__name__}: {err}".removesuffix(": ")
 
 
 def _at_once(order: Sequence[_Turn]) -> Iterator[Sample | str]:
--- a/magpieshift/lab/capacity/tables.py
+++ b/magpieshift/lab/capacity/tables.py
@@ -69,10 +69,11 @@
 
 
 def ranking(results: Results) -> str:
-    """Roles by ratio to budget in the newest result that has them, the largest first, with older ratios."""
+    """Roles by ratio to budget in the newest result that tells one, the largest first, with all ratios."""
     newest: dict[tuple[str, str], Row] = {}
-    for result in results.values():
-        newest |= {(row.role, row.resource): row for row in result.rows}
+    for row in (row for result in results.values() for row in result.rows):
+        if row.ratio is not None or (row.role, row.resource) not in newest:
+            newest[row.role, row.resource] = row
     lines = []
     for row in ranked(list(newest.values())):
         if row.budget is None:
