--- a/magpieshift/lab/capacity/page.py
+++ b/magpieshift/lab/capacity/page.py
@@ -16,7 +16,7 @@
 
 PAGE = Path(HERE) / "docs" / "CAPACITY.md"
 SAVED = Path(HERE) / "docs" / "capacity"
-ORDER = ("as-it-stood", "before", "after", "fan-out")  # results by name of their file
+ORDER = ("as-it-stood", "before", "after", "fan-out", "folder")  # results by name of their file
 
 MARKED = re.compile(r"(<!-- capacity ([a-z-]+) -->\n)(.*?)(<!-- end -->)", re.DOTALL)
 
@@ -38,6 +38,7 @@
     "control-service": (
         "control service: followers",
         "control service: versions kept",
+        "control service: look at known versions",
         "control service: look of a source",
     ),
     "membership": ("membership",),
--- a/magpieshift/lab/capacity/roles/__init__.py
+++ b/magpieshift/lab/capacity/roles/__init__.py
@@ -6,7 +6,7 @@
 from magpieshift.lab.capacity.roles.capture import Capture
 from magpieshift.lab.capacity.roles.changelog import ChangeLogSource
 from magpieshift.lab.capacity.roles.commands import ConfigCheck
-from magpieshift.lab.capacity.roles.control import ControlService, SourceLook, VersionsKept
+from magpieshift.lab.capacity.roles.control import ControlService, KnownLook, SourceLook, VersionsKept
 from magpieshift.lab.capacity.roles.decisions import Decisions
 from magpieshift.lab.capacity.roles.digests import Digests
 from magpieshift.lab.capacity.roles.lists import RouterLists
@@ -44,6 +44,7 @@
         RouterBehindRelay(router_folder),
         ControlService(),
         VersionsKept(),
+        KnownLook(),
         SourceLook(),
         Membership(),
         Digests(),
--- a/magpieshift/lab/capacity/roles/control.py
+++ b/magpieshift/lab/capacity/roles/control.py
@@ -7,7 +7,8 @@
 import re
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from functools import partial
 from pathlib import Path
 
 import grpc
@@ -16,7 +17,7 @@
 from magpieshift.control import sexp
 from magpieshift.control.client import METHOD
 from magpieshift.control.client import OPTIONS as CLIENT_OPTIONS
-from magpieshift.control.publisher import read_folder
+from magpieshift.control.publisher import Published, read_folder
 from magpieshift.control.session import RouterSession
 from magpieshift.control.version_history import Answer, Offer, Record, State
 from magpieshift.lab.capacity import fleet
@@ -27,6 +28,7 @@
 VERSIONS = 2
 WITHIN_S = 30.0
 PORT = re.compile(r"\bport=(\d+)")
+MANY_VERSIONS = (312.0, 625.0, 1250.0, 2500.0, 5000.0, 10_000.0, 20_000.0)
 IN_FORCE = Budget(1e3 * fleet.VERSION_IN_FORCE_S / 2, "half of the 4 s within which a version is in force")
 
 
@@ -163,7 +165,8 @@
 
 
 class VersionsKept:
-    """One look of the service at a folder with so many versions; it takes one each 0.3 s."""
+    """One look of the service at a folder with so many versions that it does not know: the first after a
+    start."""
 
     name = "control service: versions kept"
     by = "versions in the folder"
@@ -184,23 +187,47 @@
         return Sample(size, {"processor": 1e3 * spent.seconds})
 
 
+class KnownLook:
+    """One look of the service at such a folder, all of which it has read."""
+
+    name = "control service: look at known versions"
+    by = "versions in the folder"
+    target = float(fleet.VERSIONS_PER_DAY)
+    sizes = MANY_VERSIONS
+    quick_sizes = (78.0, 156.0, 312.0, 625.0)
+    repeats = 1
+    simulated = False
+    resources = (Resource("processor", "ms a look", IN_FORCE),)
+
+    def measure(self, size: float, seed: int, for_s: float) -> Sample:
+        numbers = set(range(int(size)))
+        return Sample(size, {"processor": 1e3 * _look_s(numbers, partial(read_folder, known=numbers))})
+
+
 class SourceLook:
     """One look of the fan-out tier's source at such a folder, of which it has passed on the newest."""
 
     name = "control service: look of a source"
     by = "versions in the folder"
     target = float(fleet.VERSIONS_PER_DAY)
-    sizes = (312.0, 625.0, 1250.0, 2500.0, 5000.0, 10_000.0, 20_000.0)
+    sizes = MANY_VERSIONS
     quick_sizes = (78.0, 156.0, 312.0, 625.0)
     repeats = 1
     simulated = False
     resources = (Resource("processor", "ms a look", IN_FORCE),)
 
     def measure(self, size: float, seed: int, for_s: float) -> Sample:
-        newest = int(size) - 1
-        with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as name:
-            for number in range(int(size)):
-                (Path(name) / f"{number}.sexp").touch()  # what is in one that was passed on is not read
-            with spending() as spent:
-                read_folder(name, newest)
-        return Sample(size, {"processor": 1e3 * spent.seconds})
+        numbers = set(range(int(size)))
+        return Sample(size, {"processor": 1e3 * _look_s(numbers, partial(read_folder, above=max(numbers)))})
+
+
+def _look_s(numbers: Iterable[int], look: Callable[[str], Sequence[Published]]) -> float:
+    """Processor seconds of a look that reads none of a folder's versions."""
+    with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as name:
+        for number in numbers:
+            (Path(name) / f"{number}.sexp").touch()
+        with spending() as spent:
+            found = look(name)
+    if found:
+        raise RuntimeError(f"{len(found)} versions were read, expected none")
+    return spent.seconds
