--- a/magpieshift/lab/capacity/page.py
+++ b/magpieshift/lab/capacity/page.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from magpieshift.config import ConfigError
-from magpieshift.lab.capacity import arithmetic, results, tables
+from magpieshift.lab.capacity import arithmetic, results, scale_tables, tables
 from magpieshift.lab.capacity.routers import HERE
 from magpieshift.lab.capacity.tables import Results
 
@@ -58,6 +58,12 @@
     "failures": arithmetic.failures,
 }
 
+SCALE: Mapping[str, Callable[[Path], str]] = {
+    "scale": scale_tables.runs,
+    "calibration": scale_tables.calibrations,
+}
+"""Sections with what ``lab scale`` saved in the folder of results."""
+
 
 def saved(folder: Path = SAVED) -> Results:
     """The saved results by name; ``ConfigError`` where there are none or one cannot be read."""
@@ -68,11 +74,11 @@
     return loaded
 
 
-def regenerated(text: str, found: Results) -> str:
+def regenerated(text: str, found: Results, folder: Path = SAVED) -> str:
     """The page with all that stands between markers made anew; ``ConfigError`` where a section is unknown
     or missing."""
     names = [match[2] for match in MARKED.finditer(text)]
-    known = [*SECTIONS, *ROLES]
+    known = [*SECTIONS, *ROLES, *SCALE]
     for name in known:
         if names.count(name) != 1:
             raise ConfigError(f"capacity page: found {names.count(name)} sections {name!r}, expected one")
@@ -80,10 +86,12 @@
         raise ConfigError(
             f"capacity page: found section {min(unknown)!r}, expected one of {', '.join(known)}"
         )
-    return MARKED.sub(lambda match: f"{match[1]}{_section(match[2], found)}\n{match[4]}", text)
+    return MARKED.sub(lambda match: f"{match[1]}{_section(match[2], found, folder)}\n{match[4]}", text)
 
 
-def _section(name: str, found: Results) -> str:
+def _section(name: str, found: Results, folder: Path) -> str:
+    if name in SCALE:
+        return SCALE[name](folder)
     if name in ROLES:
         return tables.role(found, *ROLES[name])
     return SECTIONS[name](found)
@@ -95,6 +103,6 @@
         text = path.read_text(encoding="utf-8")
     except OSError as err:
         raise ConfigError(f"{path} cannot be read: {err.strerror or err}") from err
-    made = regenerated(text, saved(folder))
+    made = regenerated(text, saved(folder), folder)
     path.write_text(made, encoding="utf-8")
     return made != text
--- /dev/null
+++ b/magpieshift/lab/capacity/scale_tables.py
@@ -0,0 +1,82 @@
+"""Tables of what ``lab scale`` saved: runs of hollow routers, and their calibration against real ones."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from magpieshift.config import ConfigError
+from magpieshift.lab.capacity.tables import NOTHING, number, table
+
+RUNS = "scale-*.json"
+CALIBRATIONS = "calibration-*.json"
+FIGURES = {
+    "% of a core a router": "cpu_percent_per_router",
+    "MB a router": "mb_per_router",
+    "bytes a second a router": "bytes_per_router_s",
+    "control, % of a core in all": "control_cpu_percent",
+    "purge done, p99 s": "purge_done_p99_s",
+    "at worst": "purge_done_max_s",
+    "version in force, at worst s": "version_in_force_max_s",
+    "lost": "lost",
+    "out of order": "out_of_order",
+    "load average": "load_average",
+}
+RATIOS = {
+    "processor, in one process": "cpu_percent_together",
+    "processor, in a process each": "cpu_percent_apart",
+    "bytes": "bytes_s_apart",
+    "memory, in one process": "mb_together",
+    "memory, in a process each": "mb_apart",
+}
+
+
+def runs(folder: Path) -> str:
+    """A row for each saved run."""
+    rows = []
+    for path in sorted(folder.glob(RUNS), key=_by_size):
+        saved = _load(path)
+        figures = saved["figures"]
+        values = [number(figures[key]) for key in FIGURES.values()]
+        broken = "; ".join(figures["rules_broken"]) or "none"
+        rows.append([path.stem.removeprefix("scale-"), saved["commit"][:7], *values, broken])
+    return table(["run", "commit", *FIGURES, "rules broken"], rows)
+
+
+def calibrations(folder: Path) -> str:
+    """A row for each size that was calibrated: hollow routers' cost as a part of real ones'."""
+    rows = []
+    for path in sorted(folder.glob(CALIBRATIONS), key=_by_size):
+        saved = _load(path)
+        for row in saved["figures"]["rows"]:
+            ratios = [_ratio(row, key) for key in RATIOS.values()]
+            rows.append([number(row["routers"]), number(row["runs"]), saved["commit"][:7], *ratios])
+    return table(["routers", "runs", "commit", *RATIOS], rows)
+
+
+def _ratio(row: Mapping[str, Any], key: str) -> str:
+    """A ratio of means and its spread over the runs."""
+    ratio, low, high = (row.get(f"{key}_ratio{end}") for end in ("", "_low", "_high"))
+    if ratio is None:
+        return NOTHING
+    return f"{number(ratio)} ({number(low)} to {number(high)})"
+
+
+def _by_size(path: Path) -> tuple[str, int]:
+    words, _, size = path.stem.rpartition("-")
+    return words, int(size) if size.isdecimal() else 0
+
+
+def _load(path: Path) -> dict[str, Any]:
+    try:
+        saved = json.loads(path.read_text(encoding="utf-8"))
+        figures = saved["figures"]
+        wanted = ("rows",) if path.match(CALIBRATIONS) else (*FIGURES.values(), "rules_broken")
+        missing = [key for key in wanted if key not in figures]
+        if missing or not saved["commit"]:
+            raise ValueError(f"no {' '.join(missing) or 'commit'}")
+    except (OSError, ValueError, TypeError, KeyError) as err:
+        raise ConfigError(f"{path}: found {type(err).__name__}: {err}, expected a result of scale") from err
+    return dict(saved)
