Decide on the status of an admin answer, not on whether one came

What callers saw: a rollout counted routers that answered ERR as ones that go by its term, so that two coordinators could change the fleet; with ERR to FIGURES it started a second process on a held address; a refused END was asked again until the step's time was over; a hung process counted as ended; a refused TERM counted as no term.

Cause: the executor's client gave a line or None, and callers asked whether something came (announce_term, read_processes' free addresses, _end_process) or fell back to 0 (latest_term).

Why this works: one typed answer (succeeded, refused, no answer, unreachable), parsed and fetched in one place; only success is consent, only a refused connection is a free address or an ended process. A term is read from more than half of the routers, as it is announced to more than half, so one of those asked holds the latest in force.

Looked at: rollout executor and runner, members and talk commands, the laboratory's admin clients and door experiment, relay status and acknowledgements, the control stream's reports, the process lock. Found: the five places above, all in the executor. Three copies of the same client code are one now.

--- a/magpieshift/admin/command.py
+++ b/magpieshift/admin/command.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Mapping
 
+from magpieshift.admin.answer import ERROR_WORD, OK_WORD
 from magpieshift.lifecycle import InvalidStateError
 
 MAX_LINE_BYTES = 256
@@ -23,12 +24,12 @@
 
 def ok_answer(text: str) -> bytes:
     """The answer to a command that succeeded."""
-    return f"OK {text}\n".encode()
+    return f"{OK_WORD} {text}\n".encode()
 
 
 def error_answer(reason: str) -> bytes:
     """The answer to a command that failed."""
-    return f"ERR {reason}\n".encode()
+    return f"{ERROR_WORD} {reason}\n".encode()
 
 
 class AdminCommand:
--- a/magpieshift/cli/membership.py
+++ b/magpieshift/cli/membership.py
@@ -9,6 +9,7 @@
 
 import click
 
+from magpieshift.admin.client import send_admin_command
 from magpieshift.cli import output
 from magpieshift.cli.groups import JSON_OPTION
 from magpieshift.cli.parameters import Address
@@ -42,9 +43,9 @@
 )
 """What an answer to the admin command MEMBERS must have."""
 ANSWER_TIMEOUT_S = 3.0
-"""For a router's admin server to answer. Chosen by trial: shorter fails while a router is busy."""
-MAX_ANSWER_BYTES = 1 << 21
-"""Largest answer that is read. Chosen by trial: smaller cuts off the view of a large fleet."""
+"""For a router's admin server to answer, which a busy one does late."""
+MAX_SHOWN_CHARACTERS = 120
+"""Of an answer, in an error."""
 
 CONSOLE_OPTION = click.option(
     "--console",
@@ -55,33 +56,23 @@
 )
 
 
-async def _send_command(host: str, port: int, command: str) -> str:
-    """The line that an admin server answers."""
-    async with asyncio.timeout(ANSWER_TIMEOUT_S):
-        reader, writer = await asyncio.open_connection(host, port, limit=MAX_ANSWER_BYTES)
-        writer.write(f"{command}\n".encode())
-        line = await reader.readline()
-        writer.close()
-        return line.decode().strip()
-
-
 def _query(console: str, command: str, keys: Sequence[str], hint: str) -> dict[str, Any]:
     """What a router's admin server answers to a command, from JSON, with these keys; ``ConfigError`` where it
     does not."""
-    host, port = parse_address(console, "console")
-    try:
-        line = asyncio.run(_send_command(host, port, command))
-    except (OSError, ValueError) as err:  # a line without an end, or no text, is a ValueError
-        raise ConfigError(f"{console}: no answer: {err or 'not within 3 s'}") from err
-    if not line.startswith("OK "):
-        raise ConfigError(f"{console}: found {line[:120]!r}, expected OK: {hint}")
+    server = parse_address(console, "console")
+    answer = asyncio.run(send_admin_command(server, command, ANSWER_TIMEOUT_S))
+    if answer.refused:
+        raise ConfigError(f"{console}: {answer.text[:MAX_SHOWN_CHARACTERS]}: {hint}")
+    if not answer.succeeded:
+        raise ConfigError(f"{console}: no answer: {answer.text}")
     try:
-        answer = json.loads(line.removeprefix("OK "))
+        data = json.loads(answer.text)
     except (ValueError, RecursionError):
-        answer = None
-    if not isinstance(answer, dict) or not answer.keys() >= set(keys):
-        raise ConfigError(f"{console}: found {line[:120]!r}, expected JSON with {', '.join(keys)}")
-    return answer
+        data = None
+    if not isinstance(data, dict) or not data.keys() >= set(keys):
+        shown = answer.text[:MAX_SHOWN_CHARACTERS]
+        raise ConfigError(f"{console}: found {shown!r}, expected JSON with {', '.join(keys)}")
+    return data
 
 
 @click.command(epilog="\b\nExample:\n  magpieshift talk --console 127.0.0.1:6566")
--- a/magpieshift/cli/rollouts.py
+++ b/magpieshift/cli/rollouts.py
@@ -81,7 +81,7 @@
 
 def _carry_out(plan_path: str, state: str, as_json: bool, is_new: bool, put_back: bool = False) -> None:
     """Run a coordinator to its end; exit code 1 where the fleet is not what was wanted then."""
-    from magpieshift.rollout.errors import JournalError
+    from magpieshift.rollout.errors import JournalError, TermUnknownError
     from magpieshift.rollout.journal import read_rows
     from magpieshift.rollout.runner import RolloutRunner
 
@@ -107,6 +107,8 @@
         status = asyncio.run(RolloutRunner(plan, folder, on_status=print_status, roll_back=put_back).run())
     except (JournalError, ValueError) as err:
         raise ConfigError(str(err)) from err
+    except TermUnknownError as err:
+        raise click.ClickException(str(err)) from err
     if as_json:
         click.echo(json.dumps(status))
     wanted = "old" if put_back else "new"
--- a/magpieshift/lab/fault_injection/admin_clients.py
+++ b/magpieshift/lab/fault_injection/admin_clients.py
@@ -8,16 +8,14 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from magpieshift.admin.answer import AdminAnswer
+from magpieshift.admin.client import send_admin_command
 from magpieshift.lab.fault_injection.router_instance import RouterInstance
 
 STARTUP_TIMEOUT_S = 30.0
 """Seconds that anything awaited may take: generous, as a verdict must not hang on the machine's speed."""
-COMMAND_TIMEOUT_S = 2.0
-"""Seconds until an admin command counts as unanswered: paused and dead routers never answer."""
 POLL_INTERVAL_S = 0.1
 """Seconds between two looks at a condition that is awaited."""
-MAX_ANSWER_BYTES = 1 << 20
-"""Longest answer line read: asyncio's default of 64 KiB is too little for the members of a large fleet."""
 
 
 class AdminClients:
@@ -27,18 +25,9 @@
         self.routers: dict[str, RouterInstance] = {}
         """All routers of the testbed, by name."""
 
-    async def call(self, name: str, command: str) -> str | None:
-        """Return a router's answer to an admin command; None where there is none in time."""
-        try:
-            async with asyncio.timeout(COMMAND_TIMEOUT_S):
-                port = self.routers[name].admin_port
-                reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=MAX_ANSWER_BYTES)
-                writer.write(f"{command}\n".encode())
-                line = await reader.readline()
-                writer.close()
-        except (OSError, TimeoutError, ValueError):
-            return None
-        return line.decode().rstrip("\n") or None
+    async def call(self, name: str, command: str) -> AdminAnswer:
+        """Return a router's answer to an admin command."""
+        return await send_admin_command(("127.0.0.1", self.routers[name].admin_port), command)
 
     async def membership_view(self, name: str) -> dict[str, Any] | None:
         """Return a router's answer to MEMBERS: its view of the fleet's members."""
@@ -49,11 +38,11 @@
         return await self._json_answer(name, "TALK")
 
     async def _json_answer(self, name: str, command: str) -> dict[str, Any] | None:
-        line = await self.call(name, command)
-        if line is None or not line.startswith("OK "):
+        answer = await self.call(name, command)
+        if not answer.succeeded:
             return None
-        answer: dict[str, Any] = json.loads(line[3:])
-        return answer
+        data: dict[str, Any] = json.loads(answer.text)
+        return data
 
     async def membership_views(self, names: Iterable[str] | None = None) -> dict[str, dict[str, Any]]:
         """Return the membership views of these routers, or else of all that run; those that answer."""
--- a/magpieshift/lab/fault_injection/processes.py
+++ b/magpieshift/lab/fault_injection/processes.py
@@ -123,7 +123,7 @@
 
         async def all_answer() -> bool:
             answers = [await self.call(name, "PING") for name in names]
-            return all(line is not None and line.startswith("OK") for line in answers)
+            return all(answer.succeeded for answer in answers)
 
         await self.wait_until(all_answer, f"{', '.join(names)} serving")
         for name in names:
--- a/magpieshift/rollout/errors.py
+++ b/magpieshift/rollout/errors.py
@@ -21,6 +21,10 @@
     """A step did not work; the text says why."""
 
 
+class TermUnknownError(RolloutError):
+    """Too few routers tell the latest term, so a new one could be one that another coordinator has."""
+
+
 class TermSupersededError(RolloutError):
     """A router knows a later term: another coordinator goes on."""
 
--- a/magpieshift/rollout/runner.py
+++ b/magpieshift/rollout/runner.py
@@ -53,7 +53,8 @@
 
     async def run(self) -> Mapping[str, Any]:
         """Begin, or go on with what the folder's journal holds, to the end; the last status. ``JournalError``
-        if the journal cannot be used or written, ``JournalMismatchError`` if it is of another plan."""
+        if the journal cannot be used or written, ``JournalMismatchError`` if it is of another plan,
+        ``TermUnknownError`` if too few routers tell their term."""
         journal = Journal(self._folder.path)
         try:
             self._folder.clear_request()
@@ -69,8 +70,8 @@
             journal.close()
 
     async def _next_term(self, journal: Journal) -> int:
-        """A term above every one that a router or the journal knows."""
-        latest = await Executor(self._plan, 0).latest_term(list(self._plan.routers))
+        """A term above every one that is in force at routers, or that the journal knows."""
+        latest = await Executor(self._plan, 0).latest_term()
         return 1 + max([latest, *(int(row.get("term", 0)) for row in journal.rows)])
 
 
--- a/tests/interoperability.py
+++ b/tests/interoperability.py
@@ -63,8 +63,9 @@
     """The keys of a router's answers to operators."""
     found: dict[str, list[str]] = {}
     for word in ANSWERS:
-        line = await cluster.call(name, word) or "no answer"
-        value: Any = json.loads(line[3:]) if line.startswith("OK {") else line.split()[0]
+        answer = await cluster.call(name, word)
+        is_object = answer.succeeded and answer.text.startswith("{")
+        value: Any = json.loads(answer.text) if is_object else answer.status.value
         found[word] = sorted(value) if isinstance(value, dict) else [value]
     return found
 
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -11,6 +11,7 @@
 import unittest
 from pathlib import Path
 
+from magpieshift.admin.answer import AdminAnswer, AnswerStatus
 from magpieshift.control.errors import UnusableDocumentError
 from magpieshift.lab.fault_injection import scenario
 from magpieshift.lab.fault_injection.built_in_scenarios import BUILT_IN_SCENARIOS
@@ -101,9 +102,13 @@
             self.assertEqual(await self.removed(), set())
 
         with self.subTest("one empties and comes back, another is replaced"):
-            self.assertEqual(await cluster.call("r3", "LAMEDUCK"), "OK lame-duck")
+            self.assertEqual(
+                await cluster.call("r3", "LAMEDUCK"), AdminAnswer(AnswerStatus.SUCCEEDED, "lame-duck")
+            )
             await self.wait_for_own_state("r3", "lame-duck")
-            self.assertEqual(await cluster.call("r3", "REJOIN"), "OK serving")
+            self.assertEqual(
+                await cluster.call("r3", "REJOIN"), AdminAnswer(AnswerStatus.SUCCEEDED, "serving")
+            )
             await cluster.replace("r1")
             await self.wait_for_own_state("r3", "serving")
             await self.wait_for_agreement()
--- a/tests/rollout/test_executor.py
+++ b/tests/rollout/test_executor.py
@@ -3,14 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 
-from magpieshift.rollout.errors import StepFailedError
+from magpieshift.config import Address
+from magpieshift.lab.fault_injection.ports import free_ports
+from magpieshift.rollout.errors import StepFailedError, TermUnknownError
 from magpieshift.rollout.executor import Executor
+from magpieshift.rollout.plan import Build, Plan, RouterPlace
 from tests.rollout.pieces import a_plan
 
 ROUTERS = 3
 SERVERS_PER_ROUTER = 2
+STEP_S = 1.0
+"""The time of a step, in seconds; the least that a plan allows."""
+
+
+def figures_line(label: str, state: str) -> str:
+    """An answer to FIGURES of a process of this label and state."""
+    row = {"label": label, "incarnation": "1", "state": state, "up_us": 1, "classes": {}}
+    return f"OK {json.dumps(row)}"
 
 
 class AnnounceTerm(unittest.IsolatedAsyncioTestCase):
@@ -44,5 +56,114 @@
             await self.announced("ERR AS not now: the term cannot be kept: No space left on device")
 
 
+class ScriptedRouters:
+    """Routers whose admin servers answer each command from a table; an address without one is closed."""
+
+    def __init__(self) -> None:
+        self.commands: list[tuple[str, str]] = []
+        """Each command that came: the router, and the line."""
+        self.started: list[str] = []
+        """The routers where a process was started."""
+        self._servers: list[asyncio.Server] = []
+
+    async def open(self, answers: dict[str, list[dict[str, str] | None]]) -> Plan:
+        """A plan of these routers; each admin address has its answers by command, None where it is closed."""
+        doors: dict[str, list[str]] = {name: [] for name in answers}
+        closed_ports = iter(
+            free_ports(SERVERS_PER_ROUTER * len(answers))
+        )  # of one call, so that none is twice
+        for name, addresses in answers.items():
+            for table in [*addresses, None][:SERVERS_PER_ROUTER]:
+                port = next(closed_ports) if table is None else await self._listen(name, table)
+                doors[name].append(f"127.0.0.1:{port}")
+        routers = {name: {"doors": addresses, "zone": "a"} for name, addresses in doors.items()}
+        return a_plan(routers=routers, stages={"all": {"share": 1.0}}, **{"step-s": STEP_S})
+
+    async def _listen(self, name: str, table: dict[str, str]) -> int:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            line = (await reader.readline()).decode().rstrip("\n")
+            self.commands.append((name, line))
+            if (answer := table.get(line.split()[-1])) is not None:
+                writer.write(f"{answer}\n".encode())
+                writer.close()
+
+        self._servers.append(await asyncio.start_server(serve, "127.0.0.1", 0))
+        return int(self._servers[-1].sockets[0].getsockname()[1])
+
+    async def start(self, router: RouterPlace, server: Address, build: Build, term: int) -> None:
+        self.started.append(router.name)
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.close()
+
+
+class RefusedCommands(unittest.IsolatedAsyncioTestCase):
+    """An answer counts by its status: a refusal is no consent, and an address that answers is occupied."""
+
+    def setUp(self) -> None:
+        self.routers = ScriptedRouters()
+        self.addCleanup(self.routers.close)
+
+    async def executor(self, answers: dict[str, list[dict[str, str] | None]]) -> Executor:
+        others = {name: [{"PING": "OK serving"}, None] for name in ("r1", "r2") if name not in answers}
+        return Executor(await self.routers.open(answers | others), 5, self.routers.start)
+
+    async def test_an_address_that_refuses_to_tell_its_counters_is_not_taken_for_a_free_one(self) -> None:
+        """Guards against a second process started beside one that answers ERR to FIGURES."""
+        table = {"FIGURES": "ERR FIGURES not now: starting", "PING": "OK serving"}
+        cases: list[list[dict[str, str] | None]] = [[table, table], [table, None], [None, table]]
+        for addresses in cases:
+            with self.subTest(addresses=addresses):
+                executor = await self.executor({"r0": addresses})
+                with self.assertRaisesRegex(StepFailedError, "FIGURES not now: starting"):
+                    await executor.replace_process("r0", "new")
+                self.assertEqual(self.routers.started, [])
+
+    async def test_an_address_that_stays_silent_is_not_taken_for_a_free_one(self) -> None:
+        """Guards against a process started at the address of one that hangs."""
+        old = figures_line("old", "serving")
+        executor = await self.executor({"r0": [{"FIGURES": old, "PING": "OK serving"}, {}]})
+        with self.assertRaisesRegex(StepFailedError, "all admin addresses are held"):
+            await executor.replace_process("r0", "new")
+        self.assertEqual(self.routers.started, [])
+
+    async def test_an_end_that_is_refused_fails_the_step_at_once_with_the_reason(self) -> None:
+        """Guards against a refused END asked again until the step's time is over, and told as a late end."""
+        reason = "AS not now: the term cannot be kept: No space left on device"
+        old = {"FIGURES": figures_line("old", "serving"), "PING": "OK serving", "END": f"ERR {reason}"}
+        new = {"FIGURES": figures_line("new", "serving"), "PING": "OK serving"}
+        executor = await self.executor({"r0": [old, new]})
+        with (
+            self.assertLogs("magpieshift.rollout.executor", "WARNING") as logged,
+            self.assertRaisesRegex(StepFailedError, f"refused to end: {reason}"),
+        ):
+            await executor.replace_process("r0", "new")
+        self.assertEqual(sum(line.endswith("END") for _, line in self.routers.commands), 1)
+        self.assertEqual(logged.records[0].getMessage(), "admin command refused")
+
+    async def test_a_process_that_hangs_has_not_ended(self) -> None:
+        """Guards against a silent process taken for one that has ended."""
+        old = {"FIGURES": figures_line("old", "serving"), "PING": "OK serving"}
+        new = {"FIGURES": figures_line("new", "serving"), "PING": "OK serving"}
+        executor = await self.executor({"r0": [old, new]})
+        with self.assertRaisesRegex(StepFailedError, "did not end within"):
+            await executor.replace_process("r0", "new")
+
+    async def test_a_term_that_is_refused_is_not_taken_for_none(self) -> None:
+        """Guards against a coordinator that begins at or below a term which routers hold but cannot tell."""
+        refused = {"TERM": "ERR TERM not now: the term cannot be read: Input/output error"}
+        executor = await self.executor({"r0": [refused], "r1": [refused], "r2": [{"TERM": "OK 4"}]})
+        with self.assertRaisesRegex(TermUnknownError, "1 of 3 routers .*r0 refused: .*Input/output error"):
+            await executor.latest_term()
+
+    async def test_a_majority_that_tells_its_term_is_enough(self) -> None:
+        refused = {"TERM": "ERR TERM not now: the term cannot be read"}
+        executor = await self.executor(
+            {"r0": [refused], "r1": [{"TERM": "OK 7"}, None], "r2": [{"TERM": "OK 4"}]}
+        )
+        self.assertEqual(await executor.latest_term(), 7)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -7,6 +7,8 @@
 import unittest
 from pathlib import Path
 
+from magpieshift.admin.answer import AdminAnswer, AnswerStatus
+from magpieshift.admin.client import send_admin_command
 from magpieshift.lab.experiments import rollout_report
 from magpieshift.lab.fault_injection import rollouts
 from magpieshift.lab.fault_injection.cluster import Cluster
@@ -18,7 +20,7 @@
     start_old_version,
 )
 from magpieshift.rollout.errors import TermSupersededError
-from magpieshift.rollout.executor import Executor, send_admin_command
+from magpieshift.rollout.executor import Executor
 from magpieshift.rollout.journal import read_rows
 from magpieshift.rollout.runner import RolloutRunner
 
@@ -112,7 +114,8 @@
         # the last to be changed, so that no step is under way there, and the first, which is changed already
         by_hand, *_, still = plan.stages[0].targets
         cluster.pause(still)
-        self.assertEqual(await cluster.call(by_hand, "LAMEDUCK"), "OK lame-duck")
+        lame_duck = AdminAnswer(AnswerStatus.SUCCEEDED, "lame-duck")
+        self.assertEqual(await cluster.call(by_hand, "LAMEDUCK"), lame_duck)
 
         async def waits() -> bool:
             return any("away" in why and still in why for why in seen)
