Handle signals before anything heavy is imported, in every form that serves

What callers saw: SIGHUP in the first 0.2 to 0.8 s of `magpieshift run` ended it with -1, SIGTERM with -15, though 0 and a heeded reload are promised; SIGHUP ended relays and the control service at any time, SIGTERM the latter with -15.

Cause: the handlers stood in the bare form's branch of __main__; `run` had none until its router served.

Why this works: early_signals is imported first and imports os and signal only; the event loop's handlers take over from it in one place (signals.signal_handlers), which also heeds a SIGHUP that came before and ignores signals at the end.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -6,7 +6,7 @@
 import gc
 import os
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from magpieshift.config import Config, ConfigError, load
@@ -22,22 +22,15 @@
     router: EdgeRouter,
     reload: Callable[[], None],
     started: Callable[[], None] = lambda: None,
-    early_reloads: Sequence[int] = (),
 ) -> None:
-    """Run a router as the process's own: SIGTERM and SIGINT begin its shutdown, SIGHUP calls ``reload``.
-
-    ``early_reloads`` are the SIGHUPs that came before; ``started`` is called once the router serves.
-    """
+    """Run a router as the process's own: SIGTERM and SIGINT begin its shutdown, SIGHUP calls ``reload``, also
+    one that came before. ``started`` is called once the router serves."""
     with signal_handlers(router.stop, reload):
-        if early_reloads:
-            reload()
         gc.freeze()
         await router.run(started)
 
 
-async def _run(
-    config: Config, read: Callable[[], Config], is_traced: bool, early_reloads: Sequence[int]
-) -> None:
+async def _run(config: Config, read: Callable[[], Config], is_traced: bool) -> None:
     """Run the platform's router: its configuration is a file, and has no versions."""
     router = EdgeRouter(config)
     if is_traced:
@@ -47,16 +40,13 @@
     file_reload = FileReload(router, read)
     applying = asyncio.ensure_future(file_reload.run())
     try:
-        await serve(router, file_reload.request, early_reloads=early_reloads)
+        await serve(router, file_reload.request)
     finally:
         applying.cancel()
 
 
-def main(environ: Mapping[str, str] | None = None, early_reloads: Sequence[int] = ()) -> int:
-    """Run one edge router by the environment's settings; returns the process's exit code.
-
-    ``early_reloads`` grows by each SIGHUP that comes before the router handles them itself.
-    """
+def main(environ: Mapping[str, str] | None = None) -> int:
+    """Run one edge router by the environment's settings; returns the process's exit code."""
     environ = os.environ if environ is None else environ
     is_traced = environ.get("EDGE_TRACE", "") == "1"
     setup("DEBUG" if is_traced else "INFO")
@@ -67,7 +57,7 @@
         print(f"magpieshift: {err}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(_run(config, read, is_traced, early_reloads))
+        asyncio.run(_run(config, read, is_traced))
     except OSError as err:
         print(f"magpieshift: {err}", file=sys.stderr)
         return 1
--- a/magpieshift/cli/control.py
+++ b/magpieshift/cli/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 import click
 
@@ -28,13 +29,23 @@
     from pathlib import Path
 
     from magpieshift.control.service import serve_folder
+    from magpieshift.signals import ignore_reload, signal_handlers
+
+    async def serve_until_signal() -> None:
+        """Serve, and end as planned at a signal."""
+        serving = asyncio.ensure_future(serve_folder(folder, listen))
+
+        def stop() -> None:
+            """Break the service off; it closes what it has open."""
+            serving.cancel()
+
+        with signal_handlers(stop, ignore_reload), suppress(asyncio.CancelledError):
+            await serving
 
     setup(log_form)
     if not Path(folder).is_dir():
         raise ConfigError(f"{folder} is no folder")
     try:
-        asyncio.run(serve_folder(folder, listen))
+        asyncio.run(serve_until_signal())
     except OSError as err:
         raise click.ClickException(str(err)) from err
-    except KeyboardInterrupt:
-        pass
--- a/magpieshift/cli/relays.py
+++ b/magpieshift/cli/relays.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -83,14 +82,13 @@
 def _run(make_node: Callable[[], SourceNode | RelayNode]) -> None:
     """Run a node until a signal ends it. It is made on the event loop."""
     from magpieshift.relay.errors import SourceSupersededError
+    from magpieshift.signals import ignore_reload, signal_handlers
 
     async def run_node() -> None:
         """Make the node and run it."""
         node = make_node()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, node.stop)
-        await node.run()
+        with signal_handlers(node.stop, ignore_reload):
+            await node.run()
 
     try:
         asyncio.run(run_node())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 # lowest first; what stands on one line may not import from its neighbours, but within itself
 LAYERS = (
-    ("magpieshift.errors",),
+    ("magpieshift.errors", "magpieshift.early_signals"),
     ("magpieshift.policy",),
     ("magpieshift.clock", "magpieshift.log"),
     ("magpieshift.config",),
