Hold a retry until the endpoint has read the cancellation of the attempt before it

Cause, shown: the QUIT goes out on one connection and the retry on another, as a cancelled id is kept off its connection; an endpoint that reads its second connection first has both in flight.

It is checked again by the guards right before it is written, and never written if it was cancelled meanwhile. Where two attempts may overlap nothing is held.

--- a/magpieshift/edge_router.py
+++ b/magpieshift/edge_router.py
@@ -48,6 +48,7 @@
         document.idle_timeout_us,
         document.streams_per_connection,
         max_connections=budget.upstream_connections,
+        may_probe=document.settings.can_check_health,
     )
 
 
--- a/magpieshift/engine/attempts.py
+++ b/magpieshift/engine/attempts.py
@@ -10,8 +10,8 @@
 from magpieshift.engine.endpoint_table import EndpointTable
 from magpieshift.engine.guards import AttemptGuard
 from magpieshift.engine.interfaces import EngineHooks, Upstream
-from magpieshift.engine.model import AttemptResult, Response, UpstreamRequest, Verdict
-from magpieshift.engine.open_request import Attempt, FirstExecution, OpenRequest
+from magpieshift.engine.model import AttemptResult, Response, UpstreamExchange, UpstreamRequest, Verdict
+from magpieshift.engine.open_request import Attempt, CancelledAttempt, FirstExecution, OpenRequest
 from magpieshift.engine.request_table import RequestTable
 from magpieshift.engine.settings_in_force import SettingsInForce
 from magpieshift.log import fields
@@ -129,8 +129,19 @@
             must_not_repeat=request_class.idempotency != Idempotency.IDEMPOTENT,
             check_blocked=partial(self._guard.check_before_write, attempt),
             current_max_age=current_max_age,
+            cancelled=self._cancelled_before(attempt),
         )
 
+    def _cancelled_before(self, attempt: Attempt) -> UpstreamExchange | None:
+        """The attempt whose cancellation must have been read before this one is written, if there is one."""
+        cancelled = attempt.request.cancelled_attempt
+        if cancelled is None:
+            return None
+        may_overlap = self._guard.may_overlap(
+            attempt.request.request_class, cancelled.endpoint_number, attempt.endpoint_number
+        )
+        return None if may_overlap else cancelled.exchange
+
     def _max_age_us(self, request_class: RequestClass, decided_us: int) -> int:
         limit = self._hooks.copy_age_limit
         return bounded_age_us(limit() if limit is not None else 0, decided_us, request_class)
@@ -140,6 +151,8 @@
         if attempt not in attempt.request.in_flight:
             return
         reached = attempt.exchange.cancel() if attempt.exchange is not None else False
+        if reached and attempt.exchange is not None:
+            attempt.request.cancelled_attempt = CancelledAttempt(attempt.exchange, attempt.endpoint_number)
         if outcome == Outcome.TIMEOUT and not reached:
             outcome = Outcome.CONNECT_FAILED  # its connection never came up, so it never ran
         self._settle(attempt, AttemptResult(outcome))
--- a/magpieshift/engine/guards.py
+++ b/magpieshift/engine/guards.py
@@ -14,7 +14,7 @@
 from magpieshift.policy.outcomes import Outcome
 from magpieshift.policy.rejection import may_reject
 from magpieshift.policy.retry import is_repeat_permitted, is_within_scope
-from magpieshift.policy.settings import Idempotency
+from magpieshift.policy.settings import Idempotency, RequestClass
 
 
 def is_rejection_permitted(request: OpenRequest) -> bool:
@@ -32,16 +32,21 @@
         self._endpoints = endpoints
 
     def may_hedge(self, request: OpenRequest, endpoint_number: int) -> bool:
-        """Whether a second attempt may run beside the one in flight.
+        """Whether a second attempt may run beside the one in flight."""
+        return len(request.in_flight) == 1 and self.may_overlap(
+            request.request_class, request.in_flight[0].endpoint_number, endpoint_number
+        )
+
+    def may_overlap(self, request_class: RequestClass, first_number: int, second_number: int) -> bool:
+        """Whether two attempts of one request may run at once at these endpoints.
 
         The settings must allow it, running twice must do no harm, and it must go to another endpoint, for an
         endpoint knows a request by its id.
         """
         return (
             self._in_force.settings.hedged_requests
-            and request.request_class.idempotency == Idempotency.IDEMPOTENT
-            and len(request.in_flight) == 1
-            and request.in_flight[0].endpoint_number != endpoint_number
+            and request_class.idempotency == Idempotency.IDEMPOTENT
+            and first_number != second_number
         )
 
     def check_before_write(self, attempt: Attempt) -> Outcome | None:
--- a/magpieshift/engine/interfaces.py
+++ b/magpieshift/engine/interfaces.py
@@ -10,6 +10,7 @@
     ClientRequest,
     ListedEndpoint,
     Response,
+    UpstreamExchange,
     UpstreamRequest,
     Verdict,
 )
@@ -24,14 +25,6 @@
 """Takes the final answer to one request."""
 
 
-class UpstreamExchange(Protocol):
-    """One attempt under way upstream."""
-
-    def cancel(self) -> bool:
-        """Stop it; returns whether the endpoint may have been reached."""
-        ...
-
-
 class Upstream(Protocol):
     """Carries attempts and health checks to endpoints."""
 
--- a/magpieshift/engine/model.py
+++ b/magpieshift/engine/model.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from magpieshift.policy.events import Endpoint
 from magpieshift.policy.outcomes import Outcome
@@ -54,6 +55,14 @@
     """Of a write; released once the request is over."""
 
 
+class UpstreamExchange(Protocol):
+    """One attempt under way upstream."""
+
+    def cancel(self) -> bool:
+        """Stop it; returns whether the endpoint may have been reached."""
+        ...
+
+
 class Verdict(Enum):
     """The final answer to a request."""
 
@@ -107,6 +116,9 @@
     current_max_age: Callable[[], int] | None = None
     """Called right before it is written, where the bound may have changed since the decision: the oldest copy
     that will do by then, in place of ``max_age_us``."""
+    cancelled: UpstreamExchange | None = None
+    """The attempt before it, where that was cancelled after it was written: this one is not written before
+    the endpoint has surely read so, or the time for that is over. None where two may be in flight."""
 
     def max_age_now_us(self) -> int:
         """The oldest copy that will do now, in microseconds; 0 for the class's own bound."""
--- a/magpieshift/engine/open_request.py
+++ b/magpieshift/engine/open_request.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from magpieshift.clock import TimerHandle
-from magpieshift.engine.interfaces import Reply, UpstreamExchange
-from magpieshift.engine.model import ClientRequest, ListedEndpoint
+from magpieshift.engine.interfaces import Reply
+from magpieshift.engine.model import ClientRequest, ListedEndpoint, UpstreamExchange
 from magpieshift.policy.settings import RequestClass
 
 
@@ -21,6 +21,14 @@
     """Where it was sent, as listed then."""
 
 
+class CancelledAttempt(NamedTuple):
+    """An attempt that was cancelled after it was written."""
+
+    exchange: UpstreamExchange
+    endpoint_number: int
+    """Where it was sent."""
+
+
 @dataclass(slots=True, eq=False)
 class OpenRequest:
     """A client request. It stays in the table until its deadline, so that attempt numbers go on."""
@@ -47,6 +55,8 @@
     in_flight: list[Attempt] = field(default_factory=list)
     """Attempts not settled: two at most, and that only where hedged requests are allowed."""
     first_execution: FirstExecution | None = None
+    cancelled_attempt: CancelledAttempt | None = None
+    """The last one that was cancelled after it was written."""
 
     @property
     def is_closed(self) -> bool:
--- a/magpieshift/lab/scale/hollow.py
+++ b/magpieshift/lab/scale/hollow.py
@@ -24,8 +24,7 @@
 from magpieshift.discovery.changes import ChangeLog, ChangeSource
 from magpieshift.discovery.client import ChangeLogClient
 from magpieshift.engine.engine import Engine
-from magpieshift.engine.interfaces import UpstreamExchange
-from magpieshift.engine.model import AttemptResult, ListedEndpoint, UpstreamRequest
+from magpieshift.engine.model import AttemptResult, ListedEndpoint, UpstreamExchange, UpstreamRequest
 from magpieshift.engine.name_numbers import align_numbers
 from magpieshift.lifecycle import Lifecycle
 from magpieshift.policy.actions import Action
--- a/magpieshift/upstream/connection.py
+++ b/magpieshift/upstream/connection.py
@@ -55,6 +55,8 @@
         """The connection that carries it."""
         self.is_written = False
         """Whether its bytes were handed to the socket, so that it may have run."""
+        self.is_cancelled = False
+        """Whether it was stopped, so that it must not be written any more."""
 
     @property
     def must_not_repeat(self) -> bool:
@@ -63,6 +65,7 @@
 
     def cancel(self) -> bool:
         """Stop it; its callback is not called. Returns whether the endpoint may have been reached."""
+        self.is_cancelled = True
         if self.connection is not None:
             self.connection.cancel(self)
         return self.is_written
@@ -132,6 +135,14 @@
         else:
             self._waiting[exchange] = None
 
+    def carry_probe(self, probe: PendingExchange) -> None:
+        """Write a health check behind all that was written, without a load report; on a connection that is
+        closed it does nothing."""
+        if not self._stream.closed():
+            self.idle_since_us = None
+            probe.connection = self
+            self._write_probe(probe, with_load_report=False)
+
     def cancel(self, exchange: PendingExchange) -> None:
         """Take back an exchange: unwritten it is forgotten, written it is cancelled on the wire."""
         self._waiting.pop(exchange, None)
@@ -217,15 +228,22 @@
             self._clock.soon(lambda: exchange.callback(AttemptResult(blocked)))
             self.close_if_done()
             return
+        if request is None:
+            self._write_probe(exchange, with_load_report=bool(self._settings.load_report_columns))
+            return
+        self._note_written(exchange)
+        self._send(self.exchanges.open_request(request, self._clock.now_us(), exchange.callback))
+
+    def _write_probe(self, probe: PendingExchange, with_load_report: bool) -> None:
+        self._note_written(probe)
+        probe.request_id, probe_line = self.exchanges.open_probe(with_load_report, probe.callback)
+        self._send((probe_line,))
+
+    def _note_written(self, exchange: PendingExchange) -> None:
+        """Silence counts from the first of the exchanges that are open."""
         if len(self.exchanges) == 0:
             self._last_received_us = self._clock.now_us()
         exchange.is_written = True
-        if request is None:
-            with_load_report = bool(self._settings.load_report_columns)
-            exchange.request_id, probe_line = self.exchanges.open_probe(with_load_report, exchange.callback)
-            self._send((probe_line,))
-        else:
-            self._send(self.exchanges.open_request(request, self._clock.now_us(), exchange.callback))
 
     def _send(self, chunks: Iterable[bytes]) -> None:
         """Write; where the first chunk finds the connection broken, ``_run`` is about to end it."""
--- a/magpieshift/upstream/pool.py
+++ b/magpieshift/upstream/pool.py
@@ -11,6 +11,7 @@
 from magpieshift.log import fields
 from magpieshift.policy.events import EndpointState
 from magpieshift.policy.outcomes import Outcome
+from magpieshift.upstream.cancel_barrier import CancelBarrier
 from magpieshift.upstream.connection import NEVER_CONNECTED, ConnectionSettings, PendingExchange
 from magpieshift.upstream.endpoint_pool import EndpointPool
 from magpieshift.upstream.exchange_table import ResultCallback
@@ -48,14 +49,17 @@
         max_streams: int,
         max_connections: int,
         preferred_streams: int = PREFERRED_STREAMS,
+        may_probe: bool = True,
     ) -> None:
         """``max_streams`` bounds the exchanges on one connection, ``max_connections`` all connections.
-        Connections are closed before they have been idle for ``idle_us``."""
+        Connections are closed before they have been idle for ``idle_us``. ``may_probe``: whether the settings
+        permit health checks."""
         self._clock = clock
         self._settings = ConnectionSettings(load_report_columns, connect_timeout_us, SILENCE_TIMEOUT_US)
         self._idle_us = idle_us
         self._max_streams = max_streams
         self._preferred_streams = preferred_streams
+        self._may_probe = may_probe
         self.max_connections = max_connections
         """Descriptors that all connections together may use."""
         self._pools: dict[int, EndpointPool] = {}
@@ -71,6 +75,7 @@
             self._settings.load_report_columns = new.settings.load_report_columns
             self._settings.connect_timeout_us = new.settings.connect_timeout_us
             self._max_streams = new.streams_per_connection
+            self._may_probe = new.settings.can_check_health
             self._idle_us = new.idle_timeout_us
             for pool in self._all_pools():
                 for connection in pool.connections:
@@ -88,13 +93,24 @@
         }
 
     def start(self, request: UpstreamRequest, callback: ResultCallback) -> PendingExchange:
-        """Send a request; ``callback`` is called once with its end, never from within this call."""
+        """Send a request, behind the cancellation of the attempt before it if there is one; ``callback`` is
+        called once with its end, never from within this call."""
         exchange = PendingExchange(request, callback)
-        if not self._carry(request.endpoint, exchange):
-            log.warning("no connection available", extra=fields(endpoint=request.endpoint.name))
-            self._clock.soon(lambda: callback(NEVER_CONNECTED))
+        if isinstance(request.cancelled, PendingExchange):
+            CancelBarrier(
+                self._clock, request.cancelled, self._may_probe, lambda: self._send(request, exchange)
+            )
+        else:
+            self._send(request, exchange)
         return exchange
 
+    def _send(self, request: UpstreamRequest, exchange: PendingExchange) -> None:
+        """Put a request on a connection, unless it was cancelled while it was held."""
+        if exchange.is_cancelled or self._carry(request.endpoint, exchange):
+            return
+        log.warning("no connection available", extra=fields(endpoint=request.endpoint.name))
+        self._clock.soon(lambda: exchange.callback(NEVER_CONNECTED))
+
     def probe(self, endpoint: ListedEndpoint, callback: ResultCallback) -> None:
         """Check an endpoint's health; ``callback`` is called once, in ``PROBE_TIMEOUT_US`` at the latest."""
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -92,6 +92,27 @@
                 )
                 self.assertEqual(self.engine.requests.by_number[number].in_flight, [])
 
+    def test_a_retry_names_the_cancelled_attempt_whose_cancellation_must_be_read_first(self) -> None:
+        """Guards against a second copy: a retry that reaches an endpoint before the cancellation does."""
+        cache, origin = (member.endpoint.number for member in self.members)
+        for hedged, call, to, is_named in (
+            (False, CALL, origin, True),
+            (False, WRITE, origin, True),
+            (True, CALL, origin, False),
+            (True, CALL, cache, True),
+            (True, WRITE, origin, True),
+        ):
+            with self.subTest(hedged=hedged, cls=call.class_name, to=to):
+                self.setUp()
+                settings = replace(self.engine.in_force.settings, hedged_requests=hedged)
+                self.engine.in_force.apply(settings, frozenset())
+                number = self.submit(call)
+                self.forced_actions = [SendPlainRequest(number, to, SECOND)]
+                self.engine.purged("", 1, self.clock.now)
+                self.engine.flush()
+                retry = self.upstream.orders[1][0]
+                self.assertEqual(retry.cancelled is not None, is_named)
+
     def test_the_deadline_ends_a_request_and_its_hedge(self) -> None:
         self.engine.in_force.apply(replace(self.engine.in_force.settings, hedged_requests=True), frozenset())
         number = self.submit()
--- /dev/null
+++ b/tests/upstream/test_cancel_barrier.py
@@ -0,0 +1,122 @@
+"""A retry behind the cancellation of the attempt before it, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from magpieshift.clock import LoopClock
+from magpieshift.engine.model import AttemptResult, UpstreamRequest
+from magpieshift.policy.outcomes import Outcome
+from magpieshift.upstream import cancel_barrier
+from magpieshift.upstream.connection import PendingExchange
+from magpieshift.upstream.pool import ConnectionPool
+from tests.real.exchange import PATIENCE_S
+from tests.upstream.test_exchange_table import ENDPOINT, upstream_request
+
+ID = "00000000000000a1"
+LONG_US = 60_000_000
+
+
+class RetryAfterCancel(unittest.IsolatedAsyncioTestCase):
+    """Guards against a second copy: an endpoint that reads its second connection before its first."""
+
+    async def asyncSetUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        self.results: list[AttemptResult] = []
+
+    def pool(self, may_probe: bool = True) -> ConnectionPool:
+        pool = ConnectionPool(LoopClock(), (), 400_000, LONG_US, 32, max_connections=8, may_probe=may_probe)
+        self.addCleanup(pool.close_all)
+        return pool
+
+    def request(self, cancelled: PendingExchange | None = None) -> UpstreamRequest:
+        endpoint = replace(ENDPOINT, address=self.listener.getsockname())
+        return replace(upstream_request(ID), endpoint=endpoint, cancelled=cancelled)
+
+    async def accept(self) -> socket.socket:
+        """The pool's next connection."""
+        async with asyncio.timeout(PATIENCE_S):
+            connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        self.addCleanup(connection.close)
+        return connection
+
+    async def read(self, connection: socket.socket, text: bytes) -> None:
+        """Read until this has come."""
+        got = b""
+        async with asyncio.timeout(PATIENCE_S):
+            while text not in got:
+                data = await asyncio.get_running_loop().sock_recv(connection, 4096)
+                self.assertTrue(data, got)
+                got += data
+
+    async def cancelled(self, pool: ConnectionPool) -> tuple[PendingExchange, socket.socket]:
+        """An attempt that the endpoint has read, cancelled; nothing further is read from its connection."""
+        first = pool.start(self.request(), self.results.append)
+        connection = await self.accept()
+        await self.read(connection, f"ASK {ID} ".encode())
+        self.assertTrue(first.cancel())
+        return first, connection
+
+    def assert_no_connection(self) -> None:
+        with self.assertRaises(BlockingIOError):
+            self.listener.accept()
+
+    async def test_a_retry_is_not_written_before_the_endpoint_has_read_the_cancellation(self) -> None:
+        """The second connection was read first, and the request was worked on twice at once."""
+        with mock.patch.object(cancel_barrier, "MAX_HOLD_US", LONG_US):
+            pool = self.pool()
+            first, connection = await self.cancelled(pool)
+            pool.start(self.request(first), self.results.append)
+            for _ in range(10):  # turns in which it would connect
+                await asyncio.sleep(0)
+            self.assert_no_connection()
+            await self.read(connection, f"QUIT {ID}\r\nNOOP p1\r\n".encode())
+            self.assert_no_connection()
+            connection.sendall(b"p1 well - 0\r\n\r\n")
+            second = await self.accept()
+            await self.read(second, f"ASK {ID} ".encode())
+            second.sendall(f"{ID} absent - 0\r\n\r\n".encode())
+            async with asyncio.timeout(PATIENCE_S):
+                while not self.results:
+                    await asyncio.sleep(0)
+        self.assertEqual(self.results, [AttemptResult(Outcome.MISS, body=bytearray())])
+
+    async def test_the_end_of_the_connection_gives_up_what_was_open_on_it(self) -> None:
+        with mock.patch.object(cancel_barrier, "MAX_HOLD_US", LONG_US):
+            pool = self.pool()
+            first, connection = await self.cancelled(pool)
+            pool.start(self.request(first), self.results.append)
+            connection.close()
+            await self.read(await self.accept(), f"ASK {ID} ".encode())
+
+    async def test_an_endpoint_that_stays_silent_holds_a_retry_for_a_bounded_time(self) -> None:
+        for may_probe in (True, False):
+            with self.subTest(may_probe=may_probe):
+                pool = self.pool(may_probe)
+                first, _ = await self.cancelled(pool)
+                pool.start(self.request(first), self.results.append)
+                self.assert_no_connection()
+                await self.read(await self.accept(), f"ASK {ID} ".encode())
+                pool.close_all()
+
+    async def test_a_retry_that_is_cancelled_while_it_is_held_is_never_written(self) -> None:
+        pool = self.pool()
+        first, connection = await self.cancelled(pool)
+        second = pool.start(self.request(first), self.results.append)
+        self.assertFalse(second.cancel())
+        await self.read(connection, b"NOOP p1\r\n")
+        connection.sendall(b"p1 well - 0\r\n\r\n")
+        for _ in range(20):
+            await asyncio.sleep(0.001)
+        self.assert_no_connection()
+        self.assertEqual(self.results, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
