Give processes of tests ports that no client's connection takes, and none twice

What was seen: the kill test failed once beside load with ProcessLookupError while killing an ended router, which hid why.

Cause, suspected: its port was ephemeral and free between kill and start.

Clean-up in lab/capacity that killed without a look (two places) no longer hides the first failure.

--- a/magpieshift/lab/capacity/listening_process.py
+++ b/magpieshift/lab/capacity/listening_process.py
@@ -45,7 +45,8 @@
         log_reader = asyncio.ensure_future(process.stderr.read())  # a full pipe would stop the process
         yield ListeningProcess(process.pid, port)
     finally:
-        process.kill()
+        if process.returncode is None:  # an ended one raises, which would hide why it has ended
+            process.kill()
         await process.wait()
         if log_reader is not None:
             await log_reader
--- a/magpieshift/lab/capacity/roles/changelog.py
+++ b/magpieshift/lab/capacity/roles/changelog.py
@@ -60,7 +60,8 @@
             port = int(await process.stdout.readline())
         yield LogProcess(process.pid, port)
     finally:
-        process.kill()
+        if process.returncode is None:
+            process.kill()
         await process.wait()
 
 
--- a/magpieshift/lab/emulators/peers.py
+++ b/magpieshift/lab/emulators/peers.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 import time
 from collections.abc import Mapping
 from typing import Any
@@ -20,12 +19,6 @@
 KEEP_ALIVE_S = 0.5  # between comments of a silent change log, well below a router's silence timeout
 
 
-def free_port() -> int:
-    """A port of loopback that nobody listens on right now; another process may take it first."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 class OverlapDetector:
     """Shared by endpoints: finds requests that have two attempts in flight."""
 
--- a/magpieshift/lab/emulators/world.py
+++ b/magpieshift/lab/emulators/world.py
@@ -9,6 +9,7 @@
 from magpieshift.control.schema import load_data, to_data
 from magpieshift.lab.emulators import peers
 from magpieshift.lab.emulators.endpoint_profile import CACHE_KIND, ORIGIN_KIND, PARENT_KIND
+from magpieshift.lab.fault_injection.ports import free_port
 
 ROUTER_ZONE = "shop"
 ORIGIN_ZONE = "hub"
@@ -22,7 +23,7 @@
         self.change_log = peers.ChangeLog()
         self.cache = peers.StubEndpoint("s-cache", self.overlaps)
         self.origin = peers.StubEndpoint("s-origin", self.overlaps, is_origin=True)
-        self.router_port = peers.free_port()
+        self.router_port = free_port()
         """Port of loopback on which the router is to listen."""
 
     async def start(self, members: int = 1) -> None:
--- a/magpieshift/lab/experiments/admin_client.py
+++ b/magpieshift/lab/experiments/admin_client.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from magpieshift.admin.server import MAX_CONNECTIONS
-from magpieshift.lab.emulators import peers
 from magpieshift.lab.emulators.request_generator import RequestGenerator
 from magpieshift.lab.emulators.world import LoopbackInstallation
 from magpieshift.lab.experiments.cost import Variant, started
+from magpieshift.lab.fault_injection.ports import free_port
 
 CLIENTS = 4  # that share the load
 SETTLE_S = 0.5  # before commands are timed, until clients are connected
@@ -42,7 +42,7 @@
 async def measure(calls: int, rate: float) -> dict[str, Any]:
     """Send so many commands to one router that serves ``rate`` requests a second: a row of the report."""
     world = LoopbackInstallation()
-    port = peers.free_port()
+    port = free_port()
     await world.start()
     here = os.path.dirname(os.path.dirname(os.path.dirname(__file__)))
     variant = Variant("this", here, environment={"EDGE_CONSOLE": f"127.0.0.1:{port}"})
--- a/magpieshift/lab/experiments/episode.py
+++ b/magpieshift/lab/experiments/episode.py
@@ -21,6 +21,7 @@
 from magpieshift.lab.emulators.load import LoadGenerator
 from magpieshift.lab.emulators.protocol_checker import ProtocolChecker
 from magpieshift.lab.experiments.scenario import Fault, Scenario
+from magpieshift.lab.fault_injection.ports import free_port
 
 ROUTER = (sys.executable, "-m", "magpieshift")
 UP_S = 20.0
@@ -63,7 +64,7 @@
         self._stores = EmulatedInstallation(
             scenario.boxes, scenario.hubs, self._rules, self._random, lambda event: self._log.publish(**event)
         )
-        self._port = peers.free_port()
+        self._port = free_port()
 
     async def _fail(self, failure: Fault) -> None:
         what = "hang" if failure.what == "pause" else failure.what
--- a/magpieshift/lab/scale/calibration.py
+++ b/magpieshift/lab/scale/calibration.py
@@ -24,7 +24,7 @@
 from typing import Any
 
 from magpieshift.control import sexp
-from magpieshift.lab.emulators.peers import free_port
+from magpieshift.lab.fault_injection.ports import free_port
 from magpieshift.lab.scale.fleet import Fleet, Size
 from magpieshift.lab.scale.load import Rates, arrivals
 from magpieshift.lab.scale.player import Player
--- a/tests/real/exchange.py
+++ b/tests/real/exchange.py
@@ -46,6 +46,7 @@
 
 from magpieshift.app import EdgeRouter
 from magpieshift.config import parse
+from magpieshift.lab.fault_injection.ports import free_port
 
 HERE = Path(__file__).parent
 ROOT = HERE.parent.parent
@@ -90,12 +91,6 @@
     return re.compile(b"".join(parts), re.S)
 
 
-def free_port() -> int:
-    """A port that nobody listens on right now."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return int(free.getsockname()[1])
-
-
 def config(addresses: dict[str, str]) -> dict[str, Any]:
     """The configuration of the tests, with these addresses in it."""
     text = (HERE / "config.json").read_text()
--- a/tests/relay/test_drivers.py
+++ b/tests/relay/test_drivers.py
@@ -22,7 +22,7 @@
 from magpieshift.control.document_changes import document_digest
 from magpieshift.control.grpc_channel import FOLLOW_METHOD
 from magpieshift.control.wire import control_pb2 as wire
-from magpieshift.lab.emulators import peers
+from magpieshift.lab.fault_injection.ports import free_port
 from magpieshift.relay import decoding, encoding
 from magpieshift.relay.change_log_reader import DelayWindow
 from magpieshift.relay.errors import SourceSupersededError
@@ -219,7 +219,7 @@
         self.assertTrue(not router.current or router.follower.applied == head)
 
     async def test_a_source_that_is_started_again_is_followed_in_its_new_epoch(self) -> None:
-        port = peers.free_port()
+        port = free_port()
         first = SourceNode(self.source_options(f"127.0.0.1:{port}"))
         await self.node(first)
         relay, relay_port = await self.relay("a", port)
@@ -264,7 +264,7 @@
     async def test_a_follower_goes_back_to_a_better_relay_and_takes_leave_of_the_other(self) -> None:
         _, source_port = await self.source()
         other, other_port = await self.relay("b", source_port)
-        better_port, leaving = peers.free_port(), NotingFanout(other)
+        better_port, leaving = free_port(), NotingFanout(other)
         router = Router("r1", [at(better_port), at(other_port)], Eager())
         router.client.start()
         self.addAsyncCleanup(router.client.stop)
--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -22,6 +22,7 @@
 from magpieshift.downstream.frames import FrameType
 from magpieshift.lab.emulators import peers
 from magpieshift.lab.emulators.world import LoopbackInstallation
+from magpieshift.lab.fault_injection.ports import free_port
 from magpieshift.relay import status
 from magpieshift.relay.limits import FRESHNESS_LEASE_US
 
@@ -104,7 +105,7 @@
         self.world.cache = self.cache
         await self.world.start()
         self.addCleanup(self.world.stop)
-        self.ports = {name: peers.free_port() for name in ("source", "a", "b", "door")}
+        self.ports = {name: free_port() for name in ("source", "a", "b", "door")}
         self.clients: list[Client] = []
         self.published = 0  # versions
         self.purged: dict[str, float] = {}  # keys, and when: Unix time
--- a/tests/test_change_source.py
+++ b/tests/test_change_source.py
@@ -10,9 +10,10 @@
 from magpieshift.discovery.changes import ChangeSource
 from magpieshift.edge_router import CATCH_UP_TIMEOUT_S, EdgeRouter
 from magpieshift.engine.model import endpoint_number
+from magpieshift.lab.fault_injection.ports import free_port
 from magpieshift.policy.events import EndpointListKind, EndpointState
 from magpieshift.process_lock import ProcessLock
-from tests.real.exchange import Within, free_port
+from tests.real.exchange import Within
 from tests.test_edge_router import ASK, CACHE_DATA, READY, READY_ASKED, SERVED
 
 KEY = "7f3a9c21e0b4d655"
--- a/tests/test_edge_router.py
+++ b/tests/test_edge_router.py
@@ -17,10 +17,11 @@
 from magpieshift.downstream import connection, server
 from magpieshift.downstream.frames import FrameType, frame_head
 from magpieshift.engine.engine import Engine
+from magpieshift.lab.fault_injection.ports import free_port
 from magpieshift.policy.events import PurgeReceived, RequestReceived
 from magpieshift.sockets import MAX_LINGERING
 from tests.downstream.server_case import request
-from tests.real.exchange import PATIENCE_S, ROOT, Program, Within, config, free_port
+from tests.real.exchange import PATIENCE_S, ROOT, Program, Within, config
 
 FIELDS = "tag=4b,minted=1764576000000,how=warm,stats=inflight:7;util:0.61;x1:0.2"
 ASK = {stream: request(stream, i=f"{stream:016x}", d="30000").hex() for stream in range(1, 40)}
