Soak of short lives: drawn from a seed, full of signals, judged to the last request

Cause: what signals in series, crowds, faults and replacements do at a router's start and end was tested one by one only.

Change: magpieshift lab soak. A life is a router on real sockets (the platform's form, run, or run with stored versions and a control service) amid emulated caches, a parent and an origin of drawn speed; clients that heed the notice to go away, that stay until their connection is closed, and that open one a request; a crowd of idle ones; SIGHUP and SIGTERM in series while it starts, serves and drains; a cache that hangs or dies, a silent change log, a bad or moved configuration, a second process that takes over; the kill 3.7 s after SIGTERM. Judged: no request lost (what crosses a close within 50 ms aside), no second answer, the endpoints' rules, no reset of an idle connection, ready within 10 s, ended with 0 before the kill, no traceback, no connection left.

--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -17,6 +17,7 @@
     lab_rollout,
     lab_router,
     lab_scale,
+    lab_soak,
     membership,
     relays,
     rollouts,
@@ -79,6 +80,7 @@
     lab_episode.demo,
     lab_scale.lab_scale,
     lab_scale.scale_process,
+    lab_soak.soak,
 ):
     lab.add_command(_command)
 
--- a/magpieshift/lab/emulators/client_connection.py
+++ b/magpieshift/lab/emulators/client_connection.py
@@ -46,8 +46,9 @@
 class _Link:
     """One TCP connection of a client, until either end closes it."""
 
-    def __init__(self, resend_window_s: float) -> None:
+    def __init__(self, resend_window_s: float, heeds_go_away: bool) -> None:
         self._resend_window_s = resend_window_s
+        self._heeds_go_away = heeds_go_away
         self._writer: asyncio.StreamWriter | None = None
         self._reading: asyncio.Task[None] | None = None
         self._pending: dict[int, _PendingAnswer] = {}
@@ -94,7 +95,7 @@
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(READ_BYTES):
                 for frame in parser.feed(data):
-                    if frame.type == FrameType.GO_AWAY:
+                    if frame.type == FrameType.GO_AWAY and self._heeds_go_away:
                         self.is_draining = True
                         self._close_if_drained()
                     elif frame.type == FrameType.RESPONSE:
@@ -138,8 +139,12 @@
     The loss of what a router had read is not hidden by that: endpoints detect what then comes to them twice.
     """
 
-    def __init__(self, port: int, resend_window_s: float = RESEND_WINDOW_S) -> None:
-        """``resend_window_s``: a request is sent again if it was written at most so long before the end."""
+    def __init__(
+        self, port: int, resend_window_s: float = RESEND_WINDOW_S, heeds_go_away: bool = True
+    ) -> None:
+        """``resend_window_s``: a request is sent again if it was written at most so long before the end.
+        ``heeds_go_away``: if not, it uses a connection until that is closed."""
+        self._heeds_go_away = heeds_go_away
         self._port = port
         self._resend_window_s = resend_window_s
         self._link: _Link | None = None
@@ -173,7 +178,7 @@
         for closed in [link for link in self._links if link.is_closed]:
             self._closed_duplicate_answers += closed.duplicate_answers
             self._links.remove(closed)
-        link = _Link(self._resend_window_s)
+        link = _Link(self._resend_window_s, self._heeds_go_away)
         await link.connect(self._port)
         self._links.append(link)
         return link
--- a/magpieshift/lab/emulators/emulator.py
+++ b/magpieshift/lab/emulators/emulator.py
@@ -114,6 +114,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that routers have open to it."""
+        return len(self._writers)
+
     @property
     def is_up(self) -> bool:
         """Whether it listens."""
--- a/magpieshift/lab/experiments/cost.py
+++ b/magpieshift/lab/experiments/cost.py
@@ -94,8 +94,8 @@
     late_ms: float | None  # p99.9 of how late the event loop was, where a ticker is on it
 
 
-def platform_json(world: LoopbackInstallation) -> dict[str, Any]:
-    """The platform's configuration for a router in this world."""
+def platform_json(router_port: int, change_log_port: int) -> dict[str, Any]:
+    """The platform's configuration for a router at this port of loopback, with its change log at another."""
     settings = {
         "Balancers": 1,
         "Discovery": "pushed",
@@ -164,9 +164,9 @@
     }
     return {
         "name": "lab",
-        "listen": f"127.0.0.1:{world.router_port}",
+        "listen": f"127.0.0.1:{router_port}",
         "seed": "a7",
-        "changelog": f"127.0.0.1:{world.change_log.port}",
+        "changelog": f"127.0.0.1:{change_log_port}",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
         "known": {"seq": 0, "results": []},
         "settings": settings,
@@ -187,7 +187,7 @@
     with tempfile.TemporaryDirectory(prefix="magpieshift-lab-") as folder:
         config = Path(folder) / "config.json"
         log = Path(folder) / "log"
-        config.write_text(json.dumps(platform_json(world)))
+        config.write_text(json.dumps(platform_json(world.router_port, world.change_log.port)))
         environment = os.environ | {"EDGE_CONFIG": str(config)} | dict(variant.environment or {})
         with log.open("wb") as file:
             process = await asyncio.create_subprocess_exec(
--- /dev/null
+++ b/magpieshift/lab/soak/life.py
@@ -0,0 +1,308 @@
+"""One life of a router amid emulated endpoints and clients, played by its plan and judged."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from magpieshift.control import sexp
+from magpieshift.control.publisher import PublishedVersion
+from magpieshift.control.service import ControlService
+from magpieshift.lab.emulators import peers
+from magpieshift.lab.emulators.client_connection import RESEND_WINDOW_S, NoAnswer
+from magpieshift.lab.emulators.emulated import EmulatedInstallation, router_settings
+from magpieshift.lab.emulators.load import TIME_LIMITS_MS
+from magpieshift.lab.emulators.protocol_checker import ProtocolChecker
+from magpieshift.lab.experiments.cost import platform_json
+from magpieshift.lab.fault_injection.ports import free_port
+from magpieshift.lab.soak.clients import ClientGroup, Unanswered
+from magpieshift.lab.soak.plan import LifeFault, LifePlan, RouterForm, TimedSignal
+from magpieshift.lab.soak.router_process import RouterProcess
+
+PROGRAM = ("-m", "magpieshift")
+CACHES = 3
+CHECKER_SLACK_S = 1.0
+"""Granted to the endpoints' rules with a time in them: the machine may be busy."""
+NEW_CONNECTIONS_FOR_S = 0.2
+"""After SIGTERM: the platform's front goes on opening connections for so long at least."""
+RELEASED_WITHIN_S = 1.0
+"""For an endpoint to see that a router's connections have ended."""
+FAULT_FOR_S = 8.0
+"""Longer than what is left of a life."""
+SECOND_SERVES_S = 0.6
+"""Between a second process's being ready and the first one's SIGTERM, and again before its own."""
+MAX_FINDING_LENGTH = 400
+
+
+@dataclass
+class LifeReport:
+    """What came of one life."""
+
+    plan: LifePlan
+    sent: int = 0
+    served: int = 0
+    rejected: int = 0
+    failed: int = 0
+    ready_s: float = 0.0
+    """From its start until it served."""
+    ended_s: float = 0.0
+    """From SIGTERM to its end."""
+    lag_ms: float = 0.0
+    """How late the clients' event loop was at most; time limits on the clients' side are that much longer."""
+    findings: list[str] = field(default_factory=list)
+    """Each rule that was broken, in words."""
+
+    def as_row(self) -> dict[str, object]:
+        """A row of the table."""
+        return {
+            "seed": self.plan.seed,
+            "form": str(self.plan.form),
+            "fault": str(self.plan.fault),
+            "sent": self.sent,
+            "served": self.served,
+            "refused": self.rejected,
+            "failed": self.failed,
+            "ready s": round(self.ready_s, 2),
+            "ended s": round(self.ended_s, 2),
+            "lag ms": round(self.lag_ms),
+            "findings": len(self.findings),
+        }
+
+
+class Life:
+    """Owner of all that one life needs."""
+
+    def __init__(self, plan: LifePlan, folder: Path, program: Sequence[str] = PROGRAM) -> None:
+        """``program`` is started by Python in place of the router, with its words behind."""
+        self._plan = plan
+        self._folder = folder
+        self._program = program
+        self._random = random.Random(plan.seed)
+        self._port = free_port()
+        self._checker = ProtocolChecker(CHECKER_SLACK_S)
+        self._logs = (peers.ChangeLog(), peers.ChangeLog())
+        self._endpoints = EmulatedInstallation(CACHES, 1, self._checker, self._random, self._publish)
+        self._control: ControlService | None = None
+        classes = ["picture"] if plan.form is RouterForm.BARE else list(TIME_LIMITS_MS)
+        self._clients = ClientGroup(self._port, self._random, classes)
+        self._processes: list[RouterProcess] = []
+        self._faults: list[asyncio.Task[None]] = []
+        self._report = LifeReport(plan)
+
+    async def play(self) -> LifeReport:
+        """The whole life."""
+        async with AsyncExitStack() as stack:
+            stack.callback(self._stop_world)
+            stack.push_async_callback(self._kill_all)
+            await self._start_world(stack)
+            first = await self._start_router()
+            await self._reload_while_starting(first)
+            if not await first.is_ready():
+                self._find(f"not ready within time: {first.written()[-MAX_FINDING_LENGTH:]}")
+                return self._report
+            self._report.ready_s = time.monotonic() - first.started_s
+            self._clients.start(self._plan.rate, self._plan.crowd)
+            await asyncio.sleep(self._plan.serving_s)
+            await self._serve_and_end(first)
+            await self._clients.stop()
+            await self._judge()
+        return self._report
+
+    # --- the course of a life
+
+    async def _serve_and_end(self, first: RouterProcess) -> None:
+        self._change_settings()
+        await self._send_series(first, self._plan.reloads)
+        last = first
+        if self._plan.is_replaced:
+            last = await self._start_router()
+            if not await last.is_ready():
+                self._find(f"the second process is not ready: {last.written()[-MAX_FINDING_LENGTH:]}")
+            await asyncio.sleep(SECOND_SERVES_S)
+            first.send(signal.SIGTERM)
+            await self._end(first)
+            await asyncio.sleep(SECOND_SERVES_S)
+        self._begin_fault()
+        await self._send_series(last, self._plan.end_signals)
+        await self._end(last)
+
+    async def _send_series(self, router: RouterProcess, series: Sequence[TimedSignal]) -> None:
+        for each in series:
+            await asyncio.sleep(each.gap_s)
+            router.send(each.number)
+            if each.number is signal.SIGTERM and router is self._processes[-1]:
+                self._clients.newcomers_until_s = min(
+                    self._clients.newcomers_until_s, time.monotonic() + NEW_CONNECTIONS_FOR_S
+                )
+
+    async def _reload_while_starting(self, router: RouterProcess) -> None:
+        if self._plan.start_signals:
+            await router.handles_signals()
+            await self._send_series(router, self._plan.start_signals)
+
+    async def _end(self, router: RouterProcess) -> None:
+        code = await router.end()
+        assert router.terminated_s is not None
+        self._report.ended_s = time.monotonic() - router.terminated_s
+        if code is None:
+            self._find("it had not ended when the kill came")
+        elif code != 0:
+            self._find(f"it ended with {code}")
+
+    def _begin_fault(self) -> None:
+        match self._plan.fault:
+            case LifeFault.HANG | LifeFault.DIE:
+                fault = self._endpoints.inject_fault(str(self._plan.fault), "box1", FAULT_FOR_S)
+            case LifeFault.LATE_LOG:
+                fault = self._endpoints.inject_fault("late-list", for_s=FAULT_FOR_S)
+            case _:
+                return
+        self._faults.append(asyncio.ensure_future(fault))
+
+    # --- the world around it
+
+    def _publish(self, event: dict[str, Any]) -> None:
+        for log in self._logs:
+            log.publish(**event)
+
+    async def _start_world(self, stack: AsyncExitStack) -> None:
+        await self._endpoints.start()
+        for log in self._logs:
+            await log.start()
+        self._endpoints.start_publishing()
+        for name, endpoint in self._endpoints.places.items():
+            is_origin = name == "origin"
+            endpoint.added_delay_ms = self._plan.origin_delay_ms if is_origin else self._plan.cache_delay_ms
+        if self._plan.form is RouterForm.CONTROLLED:
+            self._control = ControlService()
+            await self._control.start("127.0.0.1:0")
+            stack.push_async_callback(self._control.stop)
+            text = sexp.format_document(self._settings(0) | {"retry-after-ms": 150})
+            self._control.publish(PublishedVersion.parse(1, text))
+
+    def _stop_world(self) -> None:
+        for task in self._faults:
+            task.cancel()
+        self._endpoints.stop()
+        for log in self._logs:
+            log.stop()
+
+    async def _kill_all(self) -> None:
+        for router in self._processes:
+            await router.kill()
+
+    def _settings(self, log: int) -> dict[str, Any]:
+        return router_settings("soak", self._port, self._logs[log].port)
+
+    def _settings_text(self, log: int) -> str:
+        if self._plan.form is RouterForm.BARE:
+            return json.dumps(platform_json(self._port, self._logs[log].port))
+        return sexp.format_document(self._settings(log))
+
+    @property
+    def _settings_path(self) -> Path:
+        return self._folder / ("config.json" if self._plan.form is RouterForm.BARE else "start.sexp")
+
+    def _change_settings(self) -> None:
+        """Replace the file that SIGHUP makes it read."""
+        match self._plan.fault:
+            case LifeFault.BAD_SETTINGS:
+                text = "{"
+            case LifeFault.MOVED_LOG:
+                text = self._settings_text(1)
+            case _:
+                return
+        self._settings_path.write_text(text)
+
+    async def _start_router(self) -> RouterProcess:
+        number = len(self._processes) + 1
+        if number == 1:
+            self._settings_path.write_text(self._settings_text(0))
+        environment = {"TMPDIR": str(self._folder)}
+        if self._plan.is_replaced:
+            environment["EDGE_CONSOLE"] = f"127.0.0.1:{free_port()}"
+        words: list[str] = []
+        if self._plan.form is RouterForm.BARE:
+            environment["EDGE_CONFIG"] = str(self._settings_path)
+        else:
+            words = ["run", "--config", str(self._settings_path)]
+        if self._control is not None:
+            state = str(self._folder / "state")
+            words += ["--state", state, "--control", f"127.0.0.1:{self._control.port}"]
+        log = self._folder / f"router.{number}.log"
+        router = await RouterProcess.start(self._program, words, environment, log)
+        self._processes.append(router)
+        return router
+
+    # --- the verdict
+
+    def _find(self, text: str) -> None:
+        self._report.findings.append(text)
+
+    async def _judge(self) -> None:
+        clients = self._clients
+        report = self._report
+        report.sent, report.served = clients.sent, clients.served
+        report.rejected, report.failed = clients.rejected, clients.failed
+        report.lag_ms = 1000 * clients.max_lag_s
+        lost = [each for each in clients.unanswered if self._is_lost(each)]
+        if lost:
+            self._find(f"{len(lost)} requests lost: " + "; ".join(self._describe(each) for each in lost[:3]))
+        if clients.duplicate_answers:
+            self._find(f"{clients.duplicate_answers} second answers")
+        if clients.idle_resets:
+            self._find(f"{clients.idle_resets} idle connections were reset")
+        if not clients.served:
+            self._find("nothing was served")
+        report.findings += [f"{rule}: {count}" for rule, count in self._checker.violations.items()]
+        report.findings += self._checker.examples[:3]
+        for router in self._processes:
+            text = router.written()
+            if "Traceback" in text:
+                self._find(text[text.index("Traceback") :][:MAX_FINDING_LENGTH])
+        if not await self._is_released():
+            self._find("connections to endpoints are still open")
+
+    def _is_lost(self, request: Unanswered) -> bool:
+        """Whether an answer was due. What crosses a close is not, nor what finds nobody listening once new
+        connections have stopped coming."""
+        match request.reason:
+            case NoAnswer.CROSSED:
+                return False
+            case NoAnswer.UNREACHED:
+                return request.ended_s <= self._clients.newcomers_until_s
+            case NoAnswer.ENDED:
+                return request.ended_s - request.sent_s > RESEND_WINDOW_S + self._clients.max_lag_s
+        return True
+
+    def _describe(self, request: Unanswered) -> str:
+        from_signal_s = request.sent_s - (self._processes[-1].terminated_s or 0.0)
+        took_s = request.ended_s - request.sent_s
+        return (
+            f"{request.request_id} ({request.class_name}, {request.kind}) sent {from_signal_s:+.3f} s from "
+            f"SIGTERM, after {took_s:.3f} s: {request.reason.value}"
+        )
+
+    async def _is_released(self) -> bool:
+        """Whether no router has a connection open to an endpoint any more."""
+        end_s = time.monotonic() + RELEASED_WITHIN_S + self._clients.max_lag_s
+        while any(endpoint.open_connections for endpoint in self._endpoints.places.values()):
+            if time.monotonic() > end_s:
+                return False
+            await asyncio.sleep(0.01)
+        return True
+
+
+async def play_life(plan: LifePlan, program: Sequence[str] = PROGRAM) -> LifeReport:
+    """One life in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="magpieshift-soak-") as folder:
+        return await Life(plan, Path(folder), program).play()
