--- a/magpieshift/lab/soak/life.py
+++ b/magpieshift/lab/soak/life.py
@@ -124,6 +124,7 @@
         await self._send_series(first, self._plan.reloads)
         last = first
         if self._plan.is_replaced:
+            self._settings_path.write_text(self._settings_text(0))  # a bad file may stand there
             last = await self._start_router()
             if not await last.is_ready():
                 self._find(f"the second process is not ready: {last.written()[-MAX_FINDING_LENGTH:]}")
