Answer a request whose taking raises on its own stream, and go on

What callers saw: an error on stream 0 and a close in place of the request's own answer, and no answer to what came behind it in the same bytes, where a fault of ours raised while a request was taken.

Cause: one handler for all events of a read took any exception for a broken connection.

Evidence: the new test fails before: answers (0 failed), (1 served), (2 served) in place of (2 failed), (3 failed), (1 served), (4 served).

Why this works: the one call that hands a request over has its own handler, which answers on that stream; the session drops a later answer to a stream that is closed, so no request gets two.

--- a/magpieshift/downstream/connection.py
+++ b/magpieshift/downstream/connection.py
@@ -20,7 +20,7 @@
 from magpieshift.downstream.host import ConnectionHost
 from magpieshift.downstream.messages import Chunks, write_error, write_readiness
 from magpieshift.downstream.session import MAX_OPEN_STREAMS, Session
-from magpieshift.engine.model import ClientRequest, Response
+from magpieshift.engine.model import ClientRequest, Response, Verdict
 from magpieshift.log import fields
 from magpieshift.sockets import READ_CHUNK_BYTES, LingeringStream
 
@@ -209,12 +209,17 @@
             self._write(self._session.respond(stream_id, engine.draining_response()))
             return
         is_paused = self._unsent_bytes > HIGH_WATER_BYTES
-        self._request_numbers[stream_id] = engine.submit(
-            request,
-            lambda response: self._respond(stream_id, response),
-            is_paused,
-            self._receive_available,
-        )
+        try:
+            self._request_numbers[stream_id] = engine.submit(
+                request,
+                lambda response: self._respond(stream_id, response),
+                is_paused,
+                self._receive_available,
+            )
+        except Exception:  # a fault of ours in one request costs no other
+            log.exception("request not taken", extra=fields(request_id=request.request_id))
+            self._write(self._session.respond(stream_id, Response(Verdict.FAILED)))
+            return
         if is_paused:
             self._paused[stream_id] = None
 
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -9,7 +9,7 @@
 
 from magpieshift.downstream import server
 from magpieshift.downstream.connection import HIGH_WATER_BYTES
-from magpieshift.downstream.frames import FrameType, frame_head
+from magpieshift.downstream.frames import FrameParser, FrameType, ResponseCode, frame_head
 from magpieshift.engine.model import Response, Verdict
 from tests.downstream.server_case import ServerCase, request
 
@@ -42,6 +42,28 @@
         await self.settle()
         self.assertEqual([c.args for c in self.engine.resume.call_args_list], [(2,), (4,)])
 
+    async def test_a_request_whose_taking_raises_gets_its_own_answer_and_costs_no_other(self) -> None:
+        """Guards against an error on stream 0 and a close in place of one final answer for each request."""
+        client = await self.join()
+        open_reply = await self.ask(client, 1)
+        self.engine.submit.side_effect = RuntimeError("a fault")
+        with self.assertLogs("magpieshift.downstream.connection", "ERROR"):
+            client.input.put_nowait(request(2) + request(3))
+            await self.settle()
+        self.engine.submit.side_effect = None
+        self.engine.submit.return_value = 99
+        next_reply = await self.ask(client, 4)
+        for reply in (open_reply, next_reply):
+            reply(Response(Verdict.SERVED, b"copy"))
+        late_reply = self.engine.submit.call_args_list[1].args[1]
+        late_reply(Response(Verdict.FAILED))  # the engine had entered it before it raised
+        parser = FrameParser()
+        frames = [frame for data, _ in client.written for frame in parser.feed(data)]
+        answers = [(frame.stream_id, frame.payload[0]) for frame in frames]
+        failed, served = ResponseCode.FAILED, ResponseCode.OK
+        self.assertEqual(answers, [(2, failed), (3, failed), (1, served), (4, served)])
+        self.assertFalse(client.closed())
+
     async def test_a_flood_of_one_client_does_not_starve_the_others(self) -> None:
         """While its bytes were there at once, nobody else was read from."""
         flood, other = await self.join(), await self.join()
