--- a/magpieshift/lab/experiments/apply.py
+++ b/magpieshift/lab/experiments/apply.py
@@ -48,6 +48,7 @@
     )
 
     def rows(self) -> list[dict[str, Any]]:
+        """A row of the report for each kind of version, in milliseconds."""
         rows = []
         for kind, late in self.late_us.items():
             row: dict[str, Any] = {"version changes": kind}
--- a/magpieshift/lab/experiments/episode.py
+++ b/magpieshift/lab/experiments/episode.py
@@ -44,9 +44,11 @@
 
     @property
     def good(self) -> bool:
+        """Whether no rule was broken and something was served."""
         return not self.broken and self.figures.get("served", 0) > 0
 
     def as_json(self) -> dict[str, Any]:
+        """The figures, and which rules were broken how often."""
         return self.figures | {"broken": self.broken, "rules_kept": not self.broken}
 
 
--- a/magpieshift/lab/experiments/fleet.py
+++ b/magpieshift/lab/experiments/fleet.py
@@ -58,6 +58,10 @@
                 continue
 
 
+AT_ONCE_S = 0.01
+"""A request rejected sooner after it came did not wait."""
+
+
 @dataclass
 class _Request:
     asked_s: float
@@ -78,6 +82,7 @@
     gone_after_s: dict[str, float] = field(default_factory=dict)  # how long it was asked in vain
 
     def rows(self) -> list[dict[str, object]]:
+        """A row a second, with a column for each thing counted."""
         names = sorted({name for counter in self.seconds.values() for name in counter})
         return [
             {"second": at, **{name: self.seconds[at][name] for name in names}} for at in sorted(self.seconds)
@@ -103,54 +108,78 @@
         return found
 
 
-def count(lines: Iterable[Line]) -> Counts:
-    """Count over all routers; lines come in the order of their times."""
-    counts = Counts()
-    requests = dict[tuple[str, str], _Request]()
-    start = -1.0
-    routers = set[str]()
-    heard = dict[str, float]()
-    for line in lines:
-        start = line.at_s if start < 0 else start
-        routers.add(line.router)
-        at = int(line.at_s - start)
-        pairs = line.pairs
-        second = counts.seconds[at]
-        key = (line.router, pairs.get("request_number", ""))
+class _LogCounter:
+    """Counts over the lines of all routers, in the order of their times."""
+
+    def __init__(self) -> None:
+        self.counts = Counts()
+        self._requests: dict[tuple[str, str], _Request] = {}
+        """Open requests, by router and the router's own number."""
+        self._start_s = -1.0
+        """Of the first line; -1 before it."""
+        self._routers: set[str] = set()
+        self._heard_s: dict[str, float] = {}
+        """When each store last answered well."""
+
+    def take(self, line: Line) -> None:
+        """Count one line."""
+        self._start_s = line.at_s if self._start_s < 0 else self._start_s
+        self._routers.add(line.router)
+        self.counts.routers = len(self._routers)
+        at = int(line.at_s - self._start_s)
+        key = (line.router, line.pairs.get("request_number", ""))
         if line.event == "connecting":
-            second["connections"] += 1
+            self.counts.seconds[at]["connections"] += 1
         elif line.event == "request received":
-            requests[key] = _Request(line.at_s)
-            second["asked"] += 1
-        elif key not in requests:
-            continue
+            self._requests[key] = _Request(line.at_s)
+            self.counts.seconds[at]["asked"] += 1
+        elif key not in self._requests:
+            return
         elif line.event == "attempt started":
-            store = pairs["endpoint"]
-            source = pairs["source"]
-            filled = source not in ("-", store)
-            requests[key].out = store, source if filled else "-"
-            second["fills" if filled else "asks"] += 1
-            counts.stores[store][at]["asked"] += 1
-            if filled:
-                counts.stores[source][at]["fills"] += 1
+            self._attempt_started(at, line, self._requests[key])
         elif line.event == "attempt ended":
-            request = requests[key]
-            ok = pairs["outcome"] == "ok"
-            request.last = f"{pairs['outcome']}/{pairs['cache_status']}"
-            second[request.last] += 1
-            for store in request.out:
-                if store != "-":
-                    counts.stores[store][at]["ok" if ok or pairs["outcome"] == "miss" else "bad"] += 1
-                    if ok or (pairs["outcome"] == "miss" and store == request.out[0]):
-                        heard[store] = line.at_s
-                    else:
-                        silent = line.at_s - heard.get(store, start)
-                        counts.gone_after_s[store] = max(counts.gone_after_s.get(store, 0.0), silent)
+            self._attempt_ended(at, line, self._requests[key])
         else:
-            request = requests.pop(key)
-            second[FINAL[line.event]] += 1
-            if line.event == "request rejected":
-                held = "at once" if line.at_s - request.asked_s < 0.01 else "after waiting"
-                counts.refusals[f"{request.last} {held}"] += 1
-    counts.routers = len(routers)
-    return counts
+            self._request_ended(at, line, self._requests.pop(key))
+
+    def _attempt_started(self, at: int, line: Line, request: _Request) -> None:
+        store = line.pairs["endpoint"]
+        source = line.pairs["source"]
+        filled = source not in ("-", store)
+        request.out = store, source if filled else "-"
+        self.counts.seconds[at]["fills" if filled else "asks"] += 1
+        self.counts.stores[store][at]["asked"] += 1
+        if filled:
+            self.counts.stores[source][at]["fills"] += 1
+
+    def _attempt_ended(self, at: int, line: Line, request: _Request) -> None:
+        outcome = line.pairs["outcome"]
+        request.last = f"{outcome}/{line.pairs['cache_status']}"
+        self.counts.seconds[at][request.last] += 1
+        for store in request.out:
+            if store != "-":
+                self.counts.stores[store][at]["ok" if outcome in ("ok", "miss") else "bad"] += 1
+                has_answered = outcome == "ok" or (outcome == "miss" and store == request.out[0])
+                self._note_heard(store, line.at_s, has_answered)
+
+    def _note_heard(self, store: str, at_s: float, has_answered: bool) -> None:
+        """A store has answered, or was asked in vain once more."""
+        if has_answered:
+            self._heard_s[store] = at_s
+            return
+        silent_s = at_s - self._heard_s.get(store, self._start_s)
+        self.counts.gone_after_s[store] = max(self.counts.gone_after_s.get(store, 0.0), silent_s)
+
+    def _request_ended(self, at: int, line: Line, request: _Request) -> None:
+        self.counts.seconds[at][FINAL[line.event]] += 1
+        if line.event == "request rejected":
+            held = "at once" if line.at_s - request.asked_s < AT_ONCE_S else "after waiting"
+            self.counts.refusals[f"{request.last} {held}"] += 1
+
+
+def count(lines: Iterable[Line]) -> Counts:
+    """Count over all routers; lines come in the order of their times."""
+    counter = _LogCounter()
+    for line in lines:
+        counter.take(line)
+    return counter.counts
--- a/magpieshift/lab/experiments/versions.py
+++ b/magpieshift/lab/experiments/versions.py
@@ -212,6 +212,7 @@
             self.report.findings.append(f"a message of 64 MB: {found.subscriber.last_failure!r}")
 
     async def run(self, folder: Path, progress: bool) -> Report:
+        """Play the plan with its files in this folder; ``progress`` is told on standard error."""
         plan = self._plan
         rand = self._random
         began = time.monotonic()
--- a/magpieshift/lab/simulated/rollout.py
+++ b/magpieshift/lab/simulated/rollout.py
@@ -65,6 +65,7 @@
         return CanaryAnalysis(plan.tolerances, NEW, OLD, zones, self.fleet.now_us)
 
     def do(self, actions: list[Instruction]) -> None:
+        """Carry out what the coordinator says; a replacement takes some seconds."""
         for action in actions:
             match action:
                 case RecordDecision(record=record):
@@ -77,6 +78,7 @@
                     self.step = self.fleet.now_us + int(takes * SECOND), action
 
     def look(self) -> Verdict:
+        """One round: finish the step that is due, observe, and let the coordinator decide."""
         fleet = self.fleet
         coordinator = self.coordinator
         now = fleet.now_us
--- a/magpieshift/lab/simulated/rollout_fleet.py
+++ b/magpieshift/lab/simulated/rollout_fleet.py
@@ -28,6 +28,8 @@
 
 @dataclass
 class Process:
+    """A modelled router process, and what it has counted since its start."""
+
     label: str
     incarnation: str
     born_us: int
@@ -103,6 +105,7 @@
                 self.at(int(at * SECOND), do)
 
     def at(self, when_us: int, do: Callable[[], None]) -> None:
+        """Have something happen at this time of the fake clock."""
         heapq.heappush(self._heap, (when_us, next(self._order), do))
 
     def _kill(self) -> None:
@@ -179,9 +182,11 @@
     # --- what a coordinator does and sees
 
     def answers(self, name: str) -> list[Process]:
+        """The processes of a router whose admin servers answer now."""
         return [] if self.now_us < self.silent_us[name] else self.processes[name]
 
     def figures(self, process: Process) -> ProcessCounters:
+        """What a process reports of itself; its memory varies a little from look to look."""
         classes = {
             name: RequestCounts(requests, served, requests - served)
             for name, (requests, served) in process.counts.items()
