--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -199,6 +199,11 @@
         ("quiet --folder {under}", "--folder"),
     ],
     "lab trials": [("--runs 0", "--runs"), ("--routers 17", "--routers"), ("--folder {text}", "--folder")],
+    "lab soak": [
+        ("--seeds 0", "--seeds: found 0"),
+        ("--parallel 9", "--parallel: found 9"),
+        ("--only x", "--only"),
+    ],
     "lab rollout": [
         ("--scenario none", "expected one of same"),
         ("--routers 1", "--routers: found 1"),
