State the soak's refusals as the command words them

The two new cases of bad input named the wrong words; the command refuses them in one line, as it must. tests/cli/test_commands.py and tests/test_public_names.py pass.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -200,8 +200,8 @@
     ],
     "lab trials": [("--runs 0", "--runs"), ("--routers 17", "--routers"), ("--folder {text}", "--folder")],
     "lab soak": [
-        ("--seeds 0", "--seeds: found 0"),
-        ("--parallel 9", "--parallel: found 9"),
+        ("--seeds 0", "--seeds: found '0'"),
+        ("--parallel 9", "--parallel: found '9', expected a whole number from 1 to 8"),
         ("--only x", "--only"),
     ],
     "lab rollout": [
