Review case 1: a broken configuration file ends reloading, and writes run twice

Cause: an incomplete list of zones passes the parser and raises IndexError outside of the transaction that would reject it. The task that applies configurations ends with it, so that every later file is dropped in silence and the old effects stay in force.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,146 +1,101 @@
-"""Bad clients take hundreds of requests back at once: does the router stay within its memory limit?"""
+"""A broken configuration and then a good one: do the good one's rules bind for what may run once only?"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import copy
+import os
+import signal
 import time
 from pathlib import Path
 
 import standin
-from standin import FAILED, REFUSED, SERVED, Ask, Router, Site
+from standin import FAILED, REFUSED, SERVED, Ask, Site
 
-MEMORY_MB = 64
-SOCKETS = 256
-BAD_CLIENTS = 6
-REQUESTS_AT_ONCE = 300
-BAD_FOR_S = 20.0
-QUIET_S = 2.0
-FAIR_EVERY_S = 0.1
-FAIR_WAIT_MS = 4000
-LATE_BY_S = 0.5  # a final answer later than this after its time is lost
-LOOK_EVERY_S = 0.05
-OBJECT = "7f3a9c21e0b4d655"
+AFTER_START_S = 1.5  # no SIGHUP within the first second
+BETWEEN_S = 2.0
+BINDS_AFTER_S = 1.5  # from 1.2 s after SIGHUP the new rules bind
+WRITES = 10
+WRITE_EVERY_S = 0.3
+WAIT_MS = 3000
+LATE_BY_S = 0.5
+BODY_BYTES = 4000
 
 
-def own_memory_mb(pid: int) -> float:
-    """The memory that a process has for itself, without the files that it has mapped."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024
-    raise standin.CannotRunError("the system does not tell a process's memory")
+class Origin:
+    """Runs what has come whole to it; the connection of a request that has begun is reset, once for each."""
 
-
-class Platform:
-    """Kills the router where it goes over its memory limit."""
-
-    def __init__(self, site: Site, router: Router) -> None:
-        self._site = site
-        self._router = router
-        self.peak_mb = 0.0
-        self.is_killed = False
-
-    async def watch(self) -> None:
-        """Look at the router's memory until it ends."""
-        next_line_s = 0.0
-        while not self._router.has_ended:
-            with contextlib.suppress(FileNotFoundError):
-                self.peak_mb = max(self.peak_mb, own_memory_mb(self._router.pid))
-            if time.monotonic() >= next_line_s:
-                self._site.record.write(f"router's own memory so far: {self.peak_mb:.1f} MB")
-                next_line_s = time.monotonic() + 0.5
-            if self.peak_mb > MEMORY_MB:
-                self.is_killed = True
-                self._site.record.write(f"killed for memory: {self.peak_mb:.1f} MB of {MEMORY_MB}")
-                standin.kill(self._router.pid)
-                return
-            await asyncio.sleep(LOOK_EVERY_S)
-
-
-class Load:
-    """A client that keeps to the protocol, and others that take back all they ask for."""
-
-    def __init__(self, site: Site, platform: Platform) -> None:
+    def __init__(self, site: Site) -> None:
         self._site = site
-        self._platform = platform
-        self.broken: list[str] = []
-        self.answered = 0
-        self.taken_back = 0
-
-    async def ask_fairly(self, until_s: float) -> None:
-        """Send a request now and then, each of which is owed one answer."""
-        link = await self._site.client()
-        stream = 0
-        while time.monotonic() < until_s and not self._platform.is_killed:
-            stream += 1
-            fields = standin.media(standin.request_id(), OBJECT, part=stream, wait_ms=FAIR_WAIT_MS)
-            link.send(standin.request_frame(stream, fields))
-            wait_s = FAIR_WAIT_MS / 1000 + LATE_BY_S
-            await link.wait_for(lambda: stream in link.answers or link.is_over, wait_s)  # noqa: B023
-            answers = link.answers.get(stream, [])
-            self._site.record.write("fair request", stream, fields["i"], *(answers or ["no answer"]))
-            if len(answers) != 1 or answers[0].code not in (SERVED, REFUSED, FAILED):
-                self.broken.append(f"fair request {stream} got {len(answers)} answers")
-                return
-            self.answered += 1
-            await asyncio.sleep(FAIR_EVERY_S)
+        self.runs: dict[str, int] = {}
 
-    async def take_back(self, until_s: float) -> None:
-        """Come, send hundreds of requests, take them back at once, go, and come again."""
-        while time.monotonic() < until_s and not self._platform.is_killed:
-            try:
-                link = await self._site.client()
-            except OSError:
-                await asyncio.sleep(LOOK_EVERY_S)
-                continue
-            link.send(
-                b"".join(
-                    standin.request_frame(stream, standin.media(standin.request_id(), OBJECT, part=stream))
-                    + standin.frame(3, stream)
-                    for stream in range(1, REQUESTS_AT_ONCE + 1)
-                )
-            )
-            link.send(standin.frame(4, 1, standin.encode_fields({})))  # to know when all of it was read
-            await link.wait_for(lambda: bool(link.ready_codes) or link.is_over, 6.0)  # noqa: B023
-            self.taken_back += REQUESTS_AT_ONCE
-            self._site.forget(link)
+    async def answer(self, ask: Ask) -> None:
+        """Run a request."""
+        self.runs[ask.ident] = self.runs.get(ask.ident, 0) + 1
+        self._site.record.write("origin ran", ask.ident, "time", self.runs[ask.ident], ask.fields)
+        if self.runs[ask.ident] == 1:
+            self._site.record.write("origin resets the connection under", ask.ident)
+            ask.link.writer.transport.abort()
+            return
+        ask.answer("data", f"tag=t1,minted={int(time.time() * 1000)},how=warm", b"saved")
 
 
 async def case(site: Site, has_trouble: bool) -> list[str]:
-    """One fair client, and for 20 s at most six bad ones."""
+    """A class that may be repeated becomes one that may not; in between comes a file that lacks a zone."""
+    origin_runs = Origin(site)
 
-    async def answer(ask: Ask) -> None:
-        ask.answer("data", f"tag=t1,minted={int(time.time() * 1000)},how=warm", b"x" * 900)
+    async def lacks_all(ask: Ask) -> None:
+        ask.answer("absent")
 
-    cache = await site.endpoint("s-cache", answer)
-    origin = await site.endpoint("s-origin", answer)
+    cache = await site.endpoint("s-cache", lacks_all)
+    origin = await site.endpoint("s-origin", origin_runs.answer)
     members = [
         standin.member("s-cache", cache.port, "small-box"),
         standin.member("s-origin", origin.port, "origin", "norte"),
     ]
-    config = standin.configuration(site.log.port, members, MEMORY_MB, SOCKETS)
+    config = standin.configuration(site.log.port, members)
     router = await site.start_router(config)
-    platform = Platform(site, router)
-    watch = asyncio.ensure_future(platform.watch())
-    load = Load(site, platform)
-    until_s = time.monotonic() + BAD_FOR_S
-    bad = [load.take_back(until_s) for _ in range(BAD_CLIENTS if has_trouble else 0)]
-    try:
-        await asyncio.gather(load.ask_fairly(until_s + QUIET_S), *bad)
-    finally:
-        site.record.write("requests taken back:", load.taken_back)
-        site.record.write("fair requests answered:", load.answered)
-        site.record.write(f"most memory: {platform.peak_mb:.1f} MB of {MEMORY_MB}")
-        watch.cancel()
-    broken = list(load.broken)
-    if platform.is_killed:
-        broken.insert(
-            0,
-            f"the router was killed for memory, {platform.peak_mb:.1f} MB of {MEMORY_MB}, "
-            f"after {load.taken_back} requests that were taken back",
-        )
-    elif router.has_ended:
-        broken.insert(0, "the router has ended")
+    await asyncio.sleep(AFTER_START_S)
+    if has_trouble:
+        broken_config = copy.deepcopy(config)
+        del broken_config["settings"]["Zones"][
+            -1
+        ]  # the file is incomplete: the router's own zone is left out
+        router.config = broken_config
+        router.write_config()
+        site.record.write("configuration: Zones is", broken_config["settings"]["Zones"])
+        router.signal(signal.SIGHUP)
+        await asyncio.sleep(BETWEEN_S)
+    good = copy.deepcopy(config)
+    write_class = good["settings"]["Classes"][1]
+    write_class["Effect"] = "single_shot"
+    router.config = good
+    router.write_config()
+    site.record.write("configuration: complete,", write_class["Name"], "is", write_class["Effect"])
+    router.signal(signal.SIGHUP)
+    await asyncio.sleep(BINDS_AFTER_S)
+    link = await site.client()
+    idents = {}
+    for stream in range(1, WRITES + 1):
+        idents[stream] = standin.request_id()
+        fields = standin.write(idents[stream], f"{stream:016x}", WAIT_MS)
+        site.record.write("client sent write", stream, idents[stream])
+        link.send(standin.request_frame(stream, fields, os.urandom(BODY_BYTES)))
+        await asyncio.sleep(WRITE_EVERY_S)
+    await link.wait_for(lambda: len(link.answers) == WRITES or link.is_over, WAIT_MS / 1000 + LATE_BY_S)
+    broken = []
+    for stream, ident in idents.items():
+        answers = link.answers.get(stream, [])
+        runs = origin_runs.runs.get(ident, 0)
+        site.record.write("write", stream, ident, "ran", runs, "times, got", *(answers or ["no answer"]))
+        if runs > 1:
+            broken.append(f"write {stream} ({ident}) ran {runs} times, and may run once only")
+        if len(answers) != 1 or answers[0].code not in (SERVED, REFUSED, FAILED):
+            broken.append(f"write {stream} ({ident}) got {len(answers)} answers")
+        elif answers[0].code == REFUSED and runs:
+            broken.append(f"write {stream} ({ident}) ran and was refused, which says that it may be repeated")
+    if router.has_ended:
+        broken.append("the router has ended")
     return broken
 
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -408,6 +408,20 @@
     }
 
 
+def write(ident: str, key: str, wait_ms: int = 3000) -> dict[str, str]:
+    """The fields of a write, which carries its idempotency key."""
+    return {
+        "c": "cart-save",
+        "i": ident,
+        "d": str(wait_ms),
+        "k": f"{random.getrandbits(128):032x}",
+        "o": key,
+        "slice": "0",
+        "set": "3",
+        "m": "20",
+    }
+
+
 class ClientLink:
     """A client's connection, which keeps all answers to each of its streams."""
 
@@ -553,15 +567,13 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send it a signal."""
-        assert self.process is not None
         self._record.write("signal to the router:", number.name)
-        self.process.send_signal(number)
+        os.kill(self.pid, number)
 
     async def stop(self) -> None:
         """Kill it, if it still runs, and remove its folder."""
         if self.process is not None and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
+            kill(self.pid)
             await self.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
