Reject a document that cannot be numbered, and keep applying the files after it

Cause: EdgeRouter.prepare called align_numbers outside of the transaction, so its IndexError was not turned into a rejection; FileReload.run catches rejections alone, its task ended, and nobody looked at the task while request went on filling its queue.

Why this works: the numbering is part of the transaction, so any error in it rejects the document with a line in the log. The task that applies documents is a BackgroundTask, which logs an unexpected error with its trace and starts again on the same queue; a second test holds that.

--- a/magpieshift/app.py
+++ b/magpieshift/app.py
@@ -41,11 +41,11 @@
 
         router.engine.policy_observer = Trace()
     file_reload = FileReload(router, read)
-    applying = asyncio.ensure_future(file_reload.run())
+    file_reload.start()
     try:
         await serve(router, file_reload.request)
     finally:
-        applying.cancel()
+        file_reload.stop()
 
 
 def main(environ: Mapping[str, str] | None = None) -> int:
--- /dev/null
+++ b/magpieshift/background_task.py
@@ -0,0 +1,74 @@
+"""Tasks that run for the life of their owner.
+
+An asyncio task that ends by an error says nothing as long as something refers to it: its work is no longer
+done, and whatever waits for that work waits forever. Tasks that must not end unseen are therefore run here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from magpieshift.log import fields
+
+log = logging.getLogger(__name__)
+
+RESTART_DELAY_S = 0.5
+"""Delay before a task that failed is started again, so that one that fails at once does not fill the log."""
+
+
+class BackgroundTask:
+    """Runs a coroutine function until it returns or is cancelled; on an error, logs it and starts again."""
+
+    def __init__(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        restart_delay_s: float = RESTART_DELAY_S,
+    ) -> None:
+        """``name`` appears in the log. ``work`` is called once more after each failure, so what it must not
+        lose belongs to its owner."""
+        self._name = name
+        self._work = work
+        self._restart_delay_s = restart_delay_s
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the work has been started and has neither returned nor been cancelled."""
+        return self._task is not None and not self._task.done()
+
+    def start(self) -> None:
+        """Start the work; must be called on the event loop, and not while it runs."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def cancel(self) -> None:
+        """Cancel the work; has no effect if it does not run."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def wait(self) -> None:
+        """Wait until the work has returned or is cancelled; raises no error of the work."""
+        if self._task is not None:
+            await asyncio.wait([self._task])
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                return await self._work()
+            except asyncio.CancelledError:
+                if _is_cancel_requested():
+                    raise
+                # something that the work waited for was cancelled, not the work itself
+                log.exception("background task failed", extra=fields(task=self._name))
+            except Exception:
+                log.exception("background task failed", extra=fields(task=self._name))
+            await asyncio.sleep(self._restart_delay_s)
+
+
+def _is_cancel_requested() -> bool:
+    """Whether the current task was asked to end."""
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
--- a/magpieshift/config_reload.py
+++ b/magpieshift/config_reload.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from magpieshift.background_task import BackgroundTask
 from magpieshift.config import Config, ConfigError, Document
 from magpieshift.config_transaction import PreparationError, Prepared
 from magpieshift.log import fields
@@ -35,6 +36,15 @@
         self._router = router
         self._read = read
         self._documents: asyncio.Queue[Document] = asyncio.Queue()
+        self._applying = BackgroundTask("configuration reload", self.run)
+
+    def start(self) -> None:
+        """Apply queued documents until ``stop``, whatever one of them raises."""
+        self._applying.start()
+
+    def stop(self) -> None:
+        """Apply no further document."""
+        self._applying.cancel()
 
     def request(self) -> None:
         """Read the file now and queue its document; if the file is invalid, log the reason and change
@@ -45,7 +55,7 @@
             log.error("configuration not reloaded", extra=fields(reason=err))
 
     async def run(self) -> None:
-        """Apply queued documents until cancelled."""
+        """Apply queued documents until cancelled; an error other than a rejection is raised."""
         while True:
             document = await self._documents.get()
             try:
--- a/magpieshift/config_transaction.py
+++ b/magpieshift/config_transaction.py
@@ -11,7 +11,8 @@
 import asyncio
 import inspect
 import logging
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -110,20 +111,31 @@
     return Prepared(new, commits)
 
 
-async def _prepare_part(part: Part, old: Document, new: Document, timeout_s: float) -> Commit:
+@contextmanager
+def rejection_on_error(part: str) -> Iterator[None]:
+    """Turn every error of a part's preparation into a ``PreparationError``; the router continues with the old
+    document."""
     try:
-        prepared = part.prepare(old, new)
-        if inspect.isawaitable(prepared):
-            async with asyncio.timeout(timeout_s):
-                return await prepared
-        return prepared
+        yield
+    except PreparationError:
+        raise
     except SettingsRejectedError as err:
         kind = FailureKind.NEEDS_RESTART if err.needs_restart else FailureKind.REJECTED
-        raise PreparationError(part.part, str(err), kind) from None
-    except TimeoutError:
-        detail = f"not ready after {timeout_s} s"
-        raise PreparationError(part.part, detail, FailureKind.TIMED_OUT) from None
-    except Exception as err:  # any error rejects the document; the router continues with the old one
-        log.exception("part failed to prepare", extra=fields(part=part.part))
+        raise PreparationError(part, str(err), kind) from None
+    except Exception as err:
+        log.exception("part failed to prepare", extra=fields(part=part))
         detail = f"{type(err).__name__}: {err}"[:MAX_REASON_CHARACTERS]
-        raise PreparationError(part.part, detail, FailureKind.RAISED) from err
+        raise PreparationError(part, detail, FailureKind.RAISED) from err
+
+
+async def _prepare_part(part: Part, old: Document, new: Document, timeout_s: float) -> Commit:
+    with rejection_on_error(part.part):
+        prepared = part.prepare(old, new)
+        if not inspect.isawaitable(prepared):
+            return prepared
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await prepared
+        except TimeoutError:
+            detail = f"not ready after {timeout_s} s"
+            raise PreparationError(part.part, detail, FailureKind.TIMED_OUT) from None
--- a/magpieshift/edge_router.py
+++ b/magpieshift/edge_router.py
@@ -10,7 +10,7 @@
 from magpieshift import shutdown
 from magpieshift.clock import LoopClock
 from magpieshift.config import Config, Document
-from magpieshift.config_transaction import Part, Prepared, prepare
+from magpieshift.config_transaction import Part, Prepared, prepare, rejection_on_error
 from magpieshift.discovery.changes import ChangeLog, ChangeSource
 from magpieshift.discovery.client import ChangeLogClient
 from magpieshift.downstream.server import DownstreamServer
@@ -31,6 +31,8 @@
 
 log = logging.getLogger(__name__)
 
+NAME_NUMBERS_PART = "names"
+"""Name under which operators are shown a document whose zones and kinds cannot be numbered."""
 CATCH_UP_TIMEOUT_S = 1.5
 """How long a process that replaces another one waits for its change log before it accepts clients. A longer
 timeout delays the replacement if the change log does not answer; with a shorter one it starts with an older
@@ -127,7 +129,9 @@
 
         Pass the result to ``commit`` before preparing another document.
         """
-        return await prepare(self.parts, self.document, align_numbers(self.document, document))
+        with rejection_on_error(NAME_NUMBERS_PART):
+            aligned = align_numbers(self.document, document)
+        return await prepare(self.parts, self.document, aligned)
 
     def commit(self, prepared: Prepared, version: int) -> None:
         """Put a prepared document in force in one event loop iteration; requests and connections stay
--- /dev/null
+++ b/tests/test_background_task.py
@@ -0,0 +1,71 @@
+"""Tasks that run for the life of their owner are started again after an error, and the error is logged."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magpieshift.background_task import BackgroundTask
+
+WAIT_TIMEOUT_S = 20.0
+
+
+class BackgroundTasks(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.runs = 0
+        self.is_done = asyncio.Event()
+
+    async def run_failing(self, error: BaseException) -> list[str]:
+        """Run work that fails twice with this error and then returns; returns the logged lines."""
+
+        async def work() -> None:
+            self.runs += 1
+            if self.runs <= 2:
+                raise error
+
+        task = BackgroundTask("example", work, restart_delay_s=0.0)
+        with self.assertLogs("magpieshift.background_task", "ERROR") as logged:
+            task.start()
+            await asyncio.wait_for(task.wait(), WAIT_TIMEOUT_S)
+        self.assertFalse(task.is_running)
+        return logged.output
+
+    async def test_work_that_fails_is_logged_and_started_again(self) -> None:
+        self.assertEqual(len(await self.run_failing(ZeroDivisionError())), 2)
+        self.assertEqual(self.runs, 3)
+
+    async def test_a_cancelled_wait_inside_the_work_does_not_end_it(self) -> None:
+        self.assertEqual(len(await self.run_failing(asyncio.CancelledError())), 2)
+        self.assertEqual(self.runs, 3)
+
+    async def test_cancelled_work_ends(self) -> None:
+        async def work() -> None:
+            self.runs += 1
+            await asyncio.Event().wait()
+
+        task = BackgroundTask("example", work)
+        task.cancel()  # not started yet: no effect
+        task.start()
+        await asyncio.sleep(0)
+        self.assertTrue(task.is_running)
+        task.cancel()
+        await asyncio.wait_for(task.wait(), WAIT_TIMEOUT_S)
+        self.assertEqual((self.runs, task.is_running), (1, False))
+
+    async def test_a_task_is_cancelled_while_it_waits_to_start_again(self) -> None:
+        async def work() -> None:
+            self.is_done.set()
+            raise ZeroDivisionError
+
+        task = BackgroundTask("example", work, restart_delay_s=WAIT_TIMEOUT_S)
+        with self.assertLogs("magpieshift.background_task", "ERROR"):
+            task.start()
+            await asyncio.wait_for(self.is_done.wait(), WAIT_TIMEOUT_S)
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait_for(task.wait(), WAIT_TIMEOUT_S)
+        self.assertFalse(task.is_running)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
     ("magpieshift.clock", "magpieshift.log"),
     ("magpieshift.config",),
     (
+        "magpieshift.background_task",
         "magpieshift.sockets",
         "magpieshift.config_transaction",
         "magpieshift.lifecycle",
