Start every lifelong task again after an unexpected error, and log it

One unexpected error ended a task for good, without a line in the log: a router then expires no connection, reads no list and no purge, or takes no version.

Cause: the tasks were held by their owners, so that asyncio never told of the exception, and nobody looked at them.

Looked at: all that start a task in magpieshift outside of the laboratory. Ten had the fault: maintenance, change log client, version manager, control client, membership bind, and the relays' client, tick, change log check, version folder reader and counters. Membership's tick, the rollout's loop and the capture's thread already survive an error. Tasks that end with a connection get a callback that logs the error by which they end. A commit listener that raises no longer ends the commit.

--- a/magpieshift/background_task.py
+++ b/magpieshift/background_task.py
@@ -22,17 +22,11 @@
 class BackgroundTask:
     """Runs a coroutine function until it returns or is cancelled; on an error, logs it and starts again."""
 
-    def __init__(
-        self,
-        name: str,
-        work: Callable[[], Coroutine[Any, Any, None]],
-        restart_delay_s: float = RESTART_DELAY_S,
-    ) -> None:
+    def __init__(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """``name`` appears in the log. ``work`` is called once more after each failure, so what it must not
         lose belongs to its owner."""
         self._name = name
         self._work = work
-        self._restart_delay_s = restart_delay_s
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -65,7 +59,21 @@
                 log.exception("background task failed", extra=fields(task=self._name))
             except Exception:
                 log.exception("background task failed", extra=fields(task=self._name))
-            await asyncio.sleep(self._restart_delay_s)
+            await asyncio.sleep(RESTART_DELAY_S)
+
+
+def log_failure(name: str) -> Callable[[asyncio.Task[Any]], None]:
+    """A done callback for tasks that are not started again: logs the error with which the task ended, if any.
+
+    ``name`` appears in the log.
+    """
+
+    def log_if_failed(task: asyncio.Task[Any]) -> None:
+        """Log the error of a task that has ended."""
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("background task failed", exc_info=error, extra=fields(task=name))
+
+    return log_if_failed
 
 
 def _is_cancel_requested() -> bool:
--- a/magpieshift/control/client.py
+++ b/magpieshift/control/client.py
@@ -11,6 +11,7 @@
 
 import grpc.aio
 
+from magpieshift.background_task import BackgroundTask
 from magpieshift.control.backoff import Backoff
 from magpieshift.control.grpc_channel import (
     CHANNEL_OPTIONS,
@@ -49,7 +50,7 @@
         self._name = name
         self._boot = boot
         self._backoff = Backoff(rand or random.Random())
-        self._task: asyncio.Task[None] | None = None
+        self._following = BackgroundTask("control client", self._run)
         # why the last stream ended; the next hello reports it
         self._last_failure = ""
         # whether the current outage has been logged as a warning: once only, since it may last for days
@@ -63,7 +64,7 @@
 
     def start(self) -> None:
         """Follow the control service until ``stop``."""
-        self._task = asyncio.ensure_future(self._run())
+        self._following.start()
 
     async def stop(self) -> None:
         """Wait up to ``MAX_DRAIN_POLLS * DRAIN_POLL_S`` for unsent answers to be sent, then close."""
@@ -72,9 +73,8 @@
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         self._manager.listeners.remove(self._queue_answer)
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.wait([self._task])
+        self._following.cancel()
+        await self._following.wait()
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/magpieshift/control/service.py
+++ b/magpieshift/control/service.py
@@ -13,6 +13,7 @@
 import grpc
 import grpc.aio
 
+from magpieshift.background_task import log_failure
 from magpieshift.control.errors import VersionNumberError
 from magpieshift.control.grpc_server import start_server
 from magpieshift.control.publisher import (
@@ -108,6 +109,7 @@
         stream = RouterStream(self.publisher)
         self.streams.add(stream)
         reading = asyncio.ensure_future(self._read(stream, requests))
+        reading.add_done_callback(log_failure("control stream reader"))
         try:
             async for message in stream.messages():
                 await context.write(message)
--- a/magpieshift/control/version_manager.py
+++ b/magpieshift/control/version_manager.py
@@ -16,6 +16,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
+from magpieshift.background_task import BackgroundTask
 from magpieshift.config_transaction import FailureKind, PreparationError, Prepared, RunningSettings
 from magpieshift.control import sexp
 from magpieshift.control.errors import VersionStoreError
@@ -103,22 +104,21 @@
         self._overrides = overrides or Overrides()
         self._clock = clock
         self._offered = asyncio.Event()
-        self._worker: asyncio.Task[None] | None = None
+        self._worker = BackgroundTask("version manager", self._apply_offers)
+        self._is_stopping = False
         # arrival times of the offers that wait or are being prepared, by number and digest
         self._arrivals_us: dict[tuple[int, str], int] = {}
 
     def start(self) -> None:
         """Apply offered versions until ``stop``."""
-        self._worker = asyncio.ensure_future(self._apply_offers())
+        self._worker.start()
 
     async def stop(self) -> None:
         """Apply no more versions. A version whose write has begun is completed first; one that is not written
         yet is rejected."""
-        worker = self._worker
-        self._worker = None
-        if worker is not None:
-            self._offered.set()
-            await worker
+        self._is_stopping = True
+        self._offered.set()
+        await self._worker.wait()
         if (waiting := self.versions.waiting) is not None:
             self.versions.waiting = None
             self._report(OfferOutcome(waiting, False, RejectionReason.STOPPING, "the router ends"))
@@ -174,7 +174,7 @@
     # --- applying one version at a time
 
     async def _apply_offers(self) -> None:
-        while self._worker is not None:
+        while not self._is_stopping:
             if (offer := self.versions.take_next()) is None:
                 self._offered.clear()
                 await self._offered.wait()
@@ -238,7 +238,7 @@
     async def _write(self, offer: VersionOffer, text: str) -> None:
         """Write and flush the version to disk; ``_RejectionError`` if that fails or the router is
         stopping."""
-        if self._worker is None:
+        if self._is_stopping:
             raise _RejectionError(RejectionReason.STOPPING, "the router ends")
         if self._store_failure:
             raise _RejectionError(RejectionReason.NOT_STORED, self._store_failure)
--- a/magpieshift/discovery/client.py
+++ b/magpieshift/discovery/client.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from magpieshift.background_task import BackgroundTask, log_failure
 from magpieshift.config import Document
 from magpieshift.discovery.changes import ChangeLog
 from magpieshift.discovery.errors import DiscoveryError, EventStreamError
@@ -99,8 +100,7 @@
         self.backoff_s = MIN_BACKOFF_S
         """The current delay before the log is read again, without jitter."""
         self._random = random.Random(seed)
-        self._task: asyncio.Task[None] | None = None
-        """The reading task; None before ``start`` and after ``stop``."""
+        self._reading = BackgroundTask("change log client", self._run)
         self._last_received_s = 0.0
         """When bytes last arrived or a connection was opened, on the event loop's clock."""
         self.has_answered = False
@@ -132,20 +132,18 @@
 
     def start(self) -> None:
         """Read the log until ``stop``."""
-        self._task = asyncio.ensure_future(self._run())
+        self._reading.start()
 
     def stop(self) -> None:
         """Close the connection and stop reading; may be called repeatedly."""
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+        self._reading.cancel()
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Read the log from another address, continuing its sequence numbers. The connection to the old
         address is closed immediately."""
         if address != self._address:
             self._address = address
-            if self._task is not None:
+            if self._reading.is_running:
                 self.stop()
                 self.start()
 
@@ -208,6 +206,7 @@
             self.note_received()
             self._stream = stream
             watchdog = asyncio.ensure_future(self._close_when_silent(stream))
+            watchdog.add_done_callback(log_failure("change log watchdog"))
             parameters = HTTP1ConnectionParameters(no_keep_alive=True, max_body_size=UNLIMITED_BODY_BYTES)
             http = HTTP1Connection(stream, is_client=True, params=parameters)
             await http.write_headers(RequestStartLine("GET", "/changes", "HTTP/1.1"), self._headers())
--- a/magpieshift/downstream/server.py
+++ b/magpieshift/downstream/server.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable, Mapping
 
+from magpieshift.background_task import log_failure
 from magpieshift.clock import LoopClock
 from magpieshift.config import Document
 from magpieshift.downstream.connection import Connection
@@ -130,6 +131,7 @@
         task = asyncio.ensure_future(connection.serve())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure("client connection"))
 
     def account_held_bytes(self, change: int) -> None:
         """Add to the number of bytes held for all clients.
--- a/magpieshift/edge_router.py
+++ b/magpieshift/edge_router.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from magpieshift import shutdown
+from magpieshift.background_task import BackgroundTask
 from magpieshift.clock import LoopClock
 from magpieshift.config import Config, Document
 from magpieshift.config_transaction import Part, Prepared, prepare, rejection_on_error
@@ -140,7 +141,10 @@
         self.version = version
         prepared.commit()
         for listener in self.commit_listeners:
-            listener(self.document, version)
+            try:
+                listener(self.document, version)
+            except Exception:  # the document is in force: it must be acknowledged, whatever a listener does
+                log.exception("commit listener failed", extra=fields(version=version))
 
     def running(self) -> dict[str, dict[str, object]]:
         """The settings in force in each part, read from the part itself."""
@@ -170,7 +174,8 @@
 
     async def run(self, started: Callable[[], None] = lambda: None) -> None:
         """Serve until ``stop``, then drain; ``started`` is called once the router serves."""
-        maintenance = asyncio.ensure_future(self._maintain())
+        maintenance = BackgroundTask("maintenance", self._maintain)
+        maintenance.start()
         try:
             self._open()
             if self._process_lock is not None and self._process_lock.other_is_alive:
--- a/magpieshift/extensions/membership.py
+++ b/magpieshift/extensions/membership.py
@@ -13,6 +13,7 @@
 
 from magpieshift import clock
 from magpieshift.app import EdgeRouter
+from magpieshift.background_task import BackgroundTask
 from magpieshift.config import Document, MembershipSettings
 from magpieshift.extensions.extension import BaseExtension
 from magpieshift.extensions.membership_status import membership_status
@@ -59,7 +60,7 @@
             self._detector, self._quota_lease, after_tick=self._after_tick, refresh_quota=self._refresh_quota
         )
         self._history: deque[MembershipChange] = deque(maxlen=MAX_HISTORY)
-        self._bind_task: asyncio.Task[None] | None = None  # the task that binds the socket
+        self._binding = BackgroundTask("membership bind", self._bind)
         self._logged_conflicts = 0
         self._logged_quota = -1.0
         # callbacks of other parts, called at the end of each tick
@@ -95,7 +96,7 @@
     def start(self) -> None:
         """Start joining the fleet; until then the router uses its solo quota."""
         self._router.engine.refresh_quota = self._refresh_quota
-        self._bind_task = asyncio.ensure_future(self._bind())
+        self._binding.start()
 
     async def _bind(self) -> None:
         """Bind the socket and join the fleet; retries while a replaced process has the address bound."""
@@ -126,9 +127,8 @@
 
     async def stop(self) -> None:
         """Leave the fleet and release the socket."""
-        if self._bind_task is not None:
-            self._bind_task.cancel()
-            await asyncio.wait([self._bind_task])
+        self._binding.cancel()
+        await self._binding.wait()
         self._driver.close()
         self._router.engine.refresh_quota = None
 
--- a/magpieshift/extensions/runner.py
+++ b/magpieshift/extensions/runner.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from magpieshift.app import EdgeRouter, serve
+from magpieshift.background_task import log_failure
 from magpieshift.config import Config, ConfigError
 from magpieshift.control.version_manager import VersionManager
 from magpieshift.control.version_startup import first_version, open_store
@@ -71,6 +72,7 @@
             extension.start()
         self.manager.start()
         manager_end = asyncio.ensure_future(self._stop_manager_with_router())
+        manager_end.add_done_callback(log_failure("version manager shutdown"))
         try:
             await serve(self.router, self.reload)
         finally:
--- a/magpieshift/lab/scale/relay_feed.py
+++ b/magpieshift/lab/scale/relay_feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
 from typing import cast
 
@@ -42,6 +41,4 @@
 
     async def crash(self) -> None:
         """Close the stream without a graceful shutdown, as a killed process does."""
-        if (task := self._client._task) is not None:
-            task.cancel()
-            await asyncio.wait([task])
+        await self._client.close()
--- a/magpieshift/relay/change_log_reader.py
+++ b/magpieshift/relay/change_log_reader.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from magpieshift import clock
+from magpieshift.background_task import BackgroundTask
 from magpieshift.config import NO_NAMES, Address
 from magpieshift.discovery.changes import ChangeLog
 from magpieshift.discovery.client import CAUGHT_UP_AFTER_S, ChangeLogClient
@@ -101,7 +102,7 @@
         self._staleness = SourceStalenessBound()
         self._delays = DelayWindow()
         self._client = ChangeLogClient(address, RawChangeLog(self), seed)
-        self._checker: asyncio.Task[None] | None = None
+        self._checking = BackgroundTask("change log check", self._check_loop)
         # time of the last check that found everything read, and the number of chunks read by then
         self._last_all_read_us: int | None = None
         self._last_chunks = 0
@@ -113,13 +114,12 @@
     def start(self) -> None:
         """Read the change log until ``stop``."""
         self._client.start()
-        self._checker = asyncio.ensure_future(self._check_loop())
+        self._checking.start()
 
     def stop(self) -> None:
         """Close the connection."""
         self._client.stop()
-        if self._checker is not None:
-            self._checker.cancel()
+        self._checking.cancel()
 
     def age_us(self, now_us: int) -> int | None:
         """The source's age: it knows everything that the change log had accepted this long ago. None before
--- a/magpieshift/relay/client.py
+++ b/magpieshift/relay/client.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from magpieshift import clock
+from magpieshift.background_task import BackgroundTask
 from magpieshift.control.grpc_channel import STREAM_FAILURES, failure_text
 from magpieshift.log import fields
 from magpieshift.relay import status
@@ -76,7 +77,7 @@
         self._selection = selection
         self._receiver = receiver
         self._make_report = make_report
-        self._task: asyncio.Task[None] | None = None
+        self._following = BackgroundTask("relay client", self._run)
         self._connection: RelayConnection | None = None
         # the connection to the previous relay after a planned change, until the lease there is released
         self._previous_connection: RelayConnection | None = None
@@ -92,7 +93,7 @@
 
     def start(self) -> None:
         """Follow relays until ``stop``."""
-        self._task = asyncio.ensure_future(self._run())
+        self._following.start()
 
     def stop_receiving(self) -> None:
         """Stop applying and acknowledging messages."""
@@ -101,15 +102,19 @@
     async def stop(self) -> None:
         """Release the lease and close the stream. A relay does not release: its followers may still hold
         leases that depend on its own."""
-        if self._task is None:
+        if not self._following.is_running:
             return
         if self._connection is not None and self._make_report is None:
             last = self._follower.release_lease(clock.source.steady_us())
             await self._connection.send_last(encode_upstream(last))
-        self._task.cancel()
-        await asyncio.wait([self._task])
+        await self.close()
         await self._close_previous()
 
+    async def close(self) -> None:
+        """Close the stream at once, and keep the lease at the relay, as a killed process does."""
+        self._following.cancel()
+        await self._following.wait()
+
     async def _close_previous(self) -> None:
         previous = self._previous_connection
         self._previous_connection = None
--- a/magpieshift/relay/node.py
+++ b/magpieshift/relay/node.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from magpieshift import clock
+from magpieshift.background_task import BackgroundTask
 from magpieshift.config import Address
 from magpieshift.control.wire import control_pb2 as wire
 from magpieshift.log import fields
@@ -147,7 +148,8 @@
         await self.service.start(listen)
         log.info("ready", extra=fields(name=self.name, region=self.region, port=self.service.port))
         ready(self.service.port)
-        counters_logger = asyncio.ensure_future(self._log_counters())
+        counters_logger = BackgroundTask("relay counters", self._log_counters)
+        counters_logger.start()
         try:
             await self._stopping.wait()
         finally:
--- a/magpieshift/relay/service.py
+++ b/magpieshift/relay/service.py
@@ -17,6 +17,7 @@
 import grpc.aio
 
 from magpieshift import clock
+from magpieshift.background_task import BackgroundTask
 from magpieshift.control.grpc_server import SERVER_OPTIONS as CONTROL_OPTIONS
 from magpieshift.control.grpc_server import start_server
 from magpieshift.control.wire import control_pb2 as wire
@@ -106,7 +107,7 @@
         # whether the fan-out was fresh at the last tick
         self._was_fresh = True
         self._server: Any = None
-        self._ticker: asyncio.Task[None] | None = None
+        self._ticking = BackgroundTask("relay service tick", self._tick)
 
     def service(self, details: Any) -> Any:
         """The handler of a gRPC method; None for an unknown one."""
@@ -119,7 +120,7 @@
     async def start(self, listen: str) -> None:
         """Listen on ``host:port``; port 0 picks a free one. ``OSError`` if the address cannot be used."""
         self._server, self.port = await start_server(self, listen, SERVER_OPTIONS)
-        self._ticker = asyncio.ensure_future(self._tick())
+        self._ticking.start()
 
     def end_streams(self, reason: str) -> None:
         """End all streams; nothing more is written to them."""
@@ -128,8 +129,7 @@
 
     async def stop(self) -> None:
         """End all streams and stop the server at once."""
-        if self._ticker is not None:
-            self._ticker.cancel()
+        self._ticking.cancel()
         self.end_streams("ending")
         if self._server is not None:
             await self._server.stop(0)
--- a/magpieshift/relay/version_reader.py
+++ b/magpieshift/relay/version_reader.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from magpieshift.background_task import BackgroundTask
 from magpieshift.control.publisher import PublishedVersion, read_version_folder
 from magpieshift.log import fields
 from magpieshift.relay.configuration import log_entry
@@ -30,16 +31,15 @@
         self._newest_number = -1
         # the last version that was added to the log
         self._previous: PublishedVersion | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._polling = BackgroundTask("version folder reader", self._run)
 
     def start(self) -> None:
         """Poll the folder until ``stop``."""
-        self._task = asyncio.ensure_future(self._run())
+        self._polling.start()
 
     def stop(self) -> None:
         """Stop polling."""
-        if self._task is not None:
-            self._task.cancel()
+        self._polling.cancel()
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_background_task.py
+++ b/tests/test_background_task.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from magpieshift.background_task import BackgroundTask
+from magpieshift.background_task import BackgroundTask, log_failure
 
 WAIT_TIMEOUT_S = 20.0
+LOGGER = "magpieshift.background_task"
+RESTART_DELAY = f"{LOGGER}.RESTART_DELAY_S"
 
 
 class BackgroundTasks(unittest.IsolatedAsyncioTestCase):
@@ -23,8 +26,11 @@
             if self.runs <= 2:
                 raise error
 
-        task = BackgroundTask("example", work, restart_delay_s=0.0)
-        with self.assertLogs("magpieshift.background_task", "ERROR") as logged:
+        task = BackgroundTask("example", work)
+        with (
+            mock.patch(RESTART_DELAY, 0.0),
+            self.assertLogs(LOGGER, "ERROR") as logged,
+        ):
             task.start()
             await asyncio.wait_for(task.wait(), WAIT_TIMEOUT_S)
         self.assertFalse(task.is_running)
@@ -57,8 +63,11 @@
             self.is_done.set()
             raise ZeroDivisionError
 
-        task = BackgroundTask("example", work, restart_delay_s=WAIT_TIMEOUT_S)
-        with self.assertLogs("magpieshift.background_task", "ERROR"):
+        task = BackgroundTask("example", work)
+        with (
+            mock.patch(RESTART_DELAY, WAIT_TIMEOUT_S),
+            self.assertLogs(LOGGER, "ERROR"),
+        ):
             task.start()
             await asyncio.wait_for(self.is_done.wait(), WAIT_TIMEOUT_S)
             await asyncio.sleep(0)
@@ -66,6 +75,22 @@
         await asyncio.wait_for(task.wait(), WAIT_TIMEOUT_S)
         self.assertFalse(task.is_running)
 
+    async def test_the_error_of_a_task_that_is_not_started_again_is_logged(self) -> None:
+        async def fail() -> None:
+            raise ZeroDivisionError
+
+        async def wait_forever() -> None:
+            await asyncio.Event().wait()
+
+        failed, cancelled = asyncio.ensure_future(fail()), asyncio.ensure_future(wait_forever())
+        for task in (failed, cancelled):
+            task.add_done_callback(log_failure("example"))
+        with self.assertLogs(LOGGER, "ERROR") as logged:
+            cancelled.cancel()
+            await asyncio.wait([failed, cancelled])
+            await asyncio.sleep(0)
+        self.assertEqual(len(logged.output), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
