Answer an admin command that raises, and release its connection

What callers saw: no answer to a command whose execution raised, and a connection that stayed open until the limit of 16 had it closed; a rollout takes that for a process that hangs.

Cause: AdminServer._serve runs in a task that nobody looks at; an error of the command ended it before the answer and before the release.

Why this works: the command's state machine turns every error into an ERR answer and logs the trace, so the one way through _serve that answers and releases is always taken; a task that still fails is logged.

--- a/magpieshift/admin/command.py
+++ b/magpieshift/admin/command.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Mapping
 
 from magpieshift.admin.answer import ERROR_WORD, OK_WORD
 from magpieshift.lifecycle import InvalidStateError
+from magpieshift.log import fields
+
+log = logging.getLogger(__name__)
 
 MAX_LINE_BYTES = 256
 """Maximum size of a command line, so that a client cannot fill the memory; valid commands are far shorter."""
@@ -65,6 +69,9 @@
             answer = self._run(text)
         except InvalidStateError as err:
             return error_answer(f"{text} not now: {err}")
+        except Exception:  # the caller is owed an answer, and must not take its absence for an ended process
+            log.exception("admin command raised an exception", extra=fields(command=text))
+            return error_answer(f"{text} failed: internal error")
         if answer is None:  # escaped, so that the answer stays one line whatever bytes were sent
             return error_answer(f"call: found {ascii(text)[:MAX_SHOWN_CHARACTERS]}, {self._expected}")
         return ok_answer(answer)
--- a/magpieshift/admin/server.py
+++ b/magpieshift/admin/server.py
@@ -10,6 +10,7 @@
 from tornado.iostream import StreamClosedError
 
 from magpieshift.admin.command import AdminCommand, Commands, CommandsWithArgument
+from magpieshift.background_task import log_failure
 from magpieshift.config import Address
 from magpieshift.lifecycle import Lifecycle
 from magpieshift.log import fields
@@ -71,7 +72,9 @@
         if len(self._connections) >= MAX_CONNECTIONS:
             self._release(next(iter(self._connections)))
         stream = LingeringStream(sock, self._closing, MAX_BUFFERED_BYTES)
-        self._connections[stream] = asyncio.ensure_future(self._serve(stream))
+        task = asyncio.ensure_future(self._serve(stream))
+        task.add_done_callback(log_failure("admin connection"))
+        self._connections[stream] = task
 
     async def _serve(self, stream: LingeringStream) -> None:
         command = AdminCommand(self._commands, self._commands_with_argument)
--- a/tests/admin/test_server.py
+++ b/tests/admin/test_server.py
@@ -10,6 +10,8 @@
 )
 from magpieshift.sockets import listen_socket
 
+WAIT_TIMEOUT_S = 20.0
+
 
 class AdminServerTest(unittest.IsolatedAsyncioTestCase):
     async def test_silent_clients_do_not_lock_others_out(self) -> None:
@@ -32,6 +34,22 @@
         for _, stream in [*silent_clients, (reader, writer)]:
             stream.close()
 
+    async def test_a_command_that_raises_is_answered_and_its_connection_is_released(self) -> None:
+        """Guards against a caller that waits in vain on a connection that is never given back."""
+        raising = mock.Mock(side_effect=ZeroDivisionError)
+        server = admin_server.AdminServer(Lifecycle(lambda: 0), {"BROKEN": raising})
+        with mock.patch.object(admin_server, "listen_socket") as listen:
+            listen.return_value = listener = listen_socket("127.0.0.1", 0)
+            server.open(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(b"BROKEN\n")
+        with self.assertLogs("magpieshift.admin", "ERROR"):
+            answer = await asyncio.wait_for(reader.read(), WAIT_TIMEOUT_S)
+        self.assertEqual(answer, b"ERR BROKEN failed: internal error\n")
+        self.assertEqual(server._connections, {})
+        server.close()
+        writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
