End a control stream when its reader or its writer ends, whichever is first

Had the writer of a control stream ended by an error, the router would have gone on taking versions, and the control service would never have had an answer to them.

Why this works: run_until_first_ends waits for both; the error of either ends the stream, which is made anew after the backoff, and the new stream's hello tells the version in force.

--- a/magpieshift/background_task.py
+++ b/magpieshift/background_task.py
@@ -76,6 +76,24 @@
     return log_if_failed
 
 
+async def run_until_first_ends(*works: Coroutine[Any, Any, None]) -> None:
+    """Run coroutines side by side until one of them ends, then cancel the others.
+
+    Raises the error of the one that has ended. If several have, it is that of the first one given; errors of
+    the others are dropped.
+    """
+    tasks = [asyncio.ensure_future(work) for work in works]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done():
+                task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _is_cancel_requested() -> bool:
     """Whether the current task was asked to end."""
     task = asyncio.current_task()
--- a/magpieshift/control/client.py
+++ b/magpieshift/control/client.py
@@ -11,7 +11,7 @@
 
 import grpc.aio
 
-from magpieshift.background_task import BackgroundTask
+from magpieshift.background_task import BackgroundTask, run_until_first_ends
 from magpieshift.control.backoff import Backoff
 from magpieshift.control.grpc_channel import (
     CHANNEL_OPTIONS,
@@ -106,7 +106,6 @@
         """Run one stream, from the hello to its end."""
         async with grpc.aio.insecure_channel(self._address, options=CHANNEL_OPTIONS) as channel:
             call = channel.stream_stream(FOLLOW_METHOD)()
-            writing: asyncio.Task[None] | None = None
             session = RouterSession()
             try:
                 await connect(channel)
@@ -115,18 +114,11 @@
                     log.info("control service connected", extra=fields(address=self._address))
                 self._loss_logged = False
                 self._session = session
-                writing = asyncio.ensure_future(self._write(call.write))
-                writing.add_done_callback(lambda _: self._queue_changed.set())
-                while (data := await call.read()) is not grpc.aio.EOF:
-                    self._receive(session, data)
-                    await self._wait_for_capacity(writing)
+                await run_until_first_ends(self._read(call.read, session), self._write(call.write))
             finally:
                 # unsent answers are discarded; the hello of the next stream reports the version in force
                 self._session = None
                 self._unsent.clear()
-                self._queue_changed.set()
-                if writing is not None:
-                    writing.cancel()
                 call.cancel()
 
     def _hello(self, session: RouterSession) -> bytes:
@@ -135,6 +127,12 @@
             self._name, self._boot, manager.in_force, manager.running(), self._last_failure
         )
 
+    async def _read(self, read: Callable[[], Any], session: RouterSession) -> None:
+        """Handle the service's messages until it ends the stream."""
+        while (data := await read()) is not grpc.aio.EOF:
+            self._receive(session, data)
+            await self._wait_for_capacity()
+
     def _receive(self, session: RouterSession, data: bytes) -> None:
         match session.receive(data):
             case VersionOffer() as offer:
@@ -146,10 +144,9 @@
                 )
                 self._queue_answer(outcome, 0, 0)
 
-    async def _wait_for_capacity(self, writing: asyncio.Task[None]) -> None:
-        """Apply backpressure: wait until fewer than ``MAX_UNSENT_ANSWERS`` are unsent, or writing has
-        ended."""
-        while len(self._unsent) >= MAX_UNSENT_ANSWERS and not writing.done():
+    async def _wait_for_capacity(self) -> None:
+        """Apply backpressure: wait until fewer than ``MAX_UNSENT_ANSWERS`` are unsent."""
+        while len(self._unsent) >= MAX_UNSENT_ANSWERS:
             self._queue_changed.clear()
             await self._queue_changed.wait()
 
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -136,6 +136,21 @@
         return next(iter(self.service.streams))
 
 
+class WriterOfAStream(ChannelCase):
+    async def test_answers_are_sent_after_the_writer_of_a_stream_has_failed(self) -> None:
+        """Guards against a stream whose answers are never sent, as its writer has ended unseen."""
+        await self.client.stop()
+        self.client = ControlClient(f"127.0.0.1:{self.port}", self.manager, "r1", "b2", random.Random(1))
+        failing: Callable[..., Any] = mock.AsyncMock(side_effect=ZeroDivisionError)
+        writers = [failing, self.client._write]
+        with mock.patch.object(self.client, "_write", lambda write: writers.pop(0)(write)):
+            self.client.start()
+            self.service.publish(version(1))
+            answer = await self.wait_for_answer(1)
+        self.assertEqual(writers, [])
+        self.assertTrue(answer.accepted)
+
+
 class Channel(ChannelCase):
     async def test_versions_are_acknowledged_once_they_are_stored_and_in_force(self) -> None:
         self.service.publish(version(1))
--- a/tests/test_background_task.py
+++ b/tests/test_background_task.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from magpieshift.background_task import BackgroundTask, log_failure
+from magpieshift.background_task import BackgroundTask, log_failure, run_until_first_ends
 
 WAIT_TIMEOUT_S = 20.0
 LOGGER = "magpieshift.background_task"
@@ -91,6 +91,26 @@
             await asyncio.sleep(0)
         self.assertEqual(len(logged.output), 1)
 
+    async def test_the_first_work_to_end_ends_the_others_and_its_error_is_raised(self) -> None:
+        ends = []
+
+        async def wait_forever() -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ends.append("waiting")
+
+        async def fail() -> None:
+            raise ZeroDivisionError
+
+        async def return_at_once() -> None:
+            return None
+
+        with self.assertRaises(ZeroDivisionError):
+            await asyncio.wait_for(run_until_first_ends(wait_forever(), fail()), WAIT_TIMEOUT_S)
+        await asyncio.wait_for(run_until_first_ends(return_at_once(), wait_forever()), WAIT_TIMEOUT_S)
+        self.assertEqual(ends, ["waiting", "waiting"])
+
 
 if __name__ == "__main__":
     unittest.main()
