Count a client's connection as idle only when all its answers have arrived

Cause: Connection.is_idle took bytes handed to the operating system for delivered ones, so the connection was half-closed under its answers and closed 0.5 s later; the client's next bytes were answered with a reset, which discards the rest.

Why this works: TIOCOUTQ tells what the peer has not acknowledged. Idle means none of that; so lame duck, idle time-out, eviction and shutdown wait for it, and the client's requests are read and answered meanwhile. The shutdown keeps its bound. The stall of 10 s counts these bytes too, so nobody holds a connection by not reading.

--- a/magpieshift/downstream/connection.py
+++ b/magpieshift/downstream/connection.py
@@ -72,8 +72,12 @@
         frame began. None if no frame is due. In Unix microseconds, as all times here."""
         self.last_received_us = host.clock.now_us()
         """When bytes were last received."""
+        self._undelivered_bytes = 0
+        """Number of bytes written to the stream that the client had not acknowledged when last looked at; 0
+        only if none can be undelivered."""
         self._last_progress_us = host.clock.now_us()
-        """When unsent bytes were last accepted, or when the first of them was written."""
+        """When bytes were last accepted by the operating system or acknowledged by the client, or when the
+        first undelivered one was written."""
 
     @property
     def is_busy(self) -> bool:
@@ -82,17 +86,18 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the connection may be closed: no open request, no unsent byte and no unread input.
+        """Whether the connection may be closed: no open request, no undelivered byte and no unread input.
 
-        Unread input counts because a request that arrives before the close must be answered.
+        Unread input counts because a request that arrives before the close must be answered. Undelivered
+        bytes count because a closed socket answers the client's next bytes with a reset, which discards them.
         """
         has_read = self._read is not None and self._read.done()
-        return not (self.is_busy or has_read or self._stream.has_unread)
+        return not (self.is_busy or has_read or self.has_undelivered or self._stream.has_unread)
 
     @property
-    def has_unsent(self) -> bool:
-        """Whether bytes of responses are unsent."""
-        return self._unsent_bytes > 0
+    def has_undelivered(self) -> bool:
+        """Whether the client has not acknowledged all responses: bytes are unsent, or on their way."""
+        return self._look_at_delivery() > 0
 
     @property
     def eviction_rank(self) -> tuple[bool, int]:
@@ -111,8 +116,8 @@
         return self._frame_due_since_us is not None and self._frame_due_since_us < since_us
 
     def is_stalled(self, since_us: int) -> bool:
-        """Whether bytes are unsent, and none could be sent since before ``since_us``."""
-        return self._unsent_bytes > 0 and self._last_progress_us < since_us
+        """Whether bytes are undelivered, and the client received none since before ``since_us``."""
+        return self.has_undelivered and self._last_progress_us < since_us
 
     def can_close_after_go_away(self, quiet_since_us: int) -> bool:
         """Whether GO_AWAY was sent and the connection is no longer needed.
@@ -131,6 +136,19 @@
             return cuts_incomplete
         return is_quiet or (rejects_requests and not asks_readiness_only)
 
+    def _look_at_delivery(self) -> int:
+        """Count the undelivered bytes, and note whether the client has received any since the last look.
+
+        The operating system does not tell of it, so this must be called now and then.
+        """
+        if self._undelivered_bytes == 0:  # nothing was written since all was delivered
+            return 0
+        undelivered_bytes = self._unsent_bytes + self._stream.undelivered_bytes
+        if undelivered_bytes != self._undelivered_bytes:
+            self._undelivered_bytes = undelivered_bytes
+            self._last_progress_us = self._host.clock.now_us()
+        return undelivered_bytes
+
     async def serve(self) -> None:
         """Read until the connection ends; then cancel the client's open requests.
 
@@ -273,6 +291,9 @@
         if self._stream.closed() or not chunks:
             return
         size = sum(map(len, chunks))
+        if self._undelivered_bytes == 0:
+            self._last_progress_us = self._host.clock.now_us()
+        self._undelivered_bytes += size
         try:
             for chunk in chunks:
                 written = self._stream.write(memoryview(chunk))
@@ -284,7 +305,7 @@
 
     def _add_unsent_bytes(self, change: int) -> None:
         """Add to the number of unsent bytes, or subtract those that were sent; nothing else changes it."""
-        if self._unsent_bytes == 0 or change < 0:
+        if change < 0:
             self._last_progress_us = self._host.clock.now_us()
         self._unsent_bytes += change
         self._resume_paused()
--- a/magpieshift/downstream/server.py
+++ b/magpieshift/downstream/server.py
@@ -89,9 +89,9 @@
         return len(self._connections)
 
     @property
-    def has_unsent(self) -> bool:
-        """Whether any client has unsent bytes of responses."""
-        return any(connection.has_unsent for connection in self._connections)
+    def has_undelivered(self) -> bool:
+        """Whether any client has not acknowledged all its responses."""
+        return any(connection.has_undelivered for connection in self._connections)
 
     @property
     def rejects_requests(self) -> bool:
--- a/magpieshift/shutdown.py
+++ b/magpieshift/shutdown.py
@@ -52,7 +52,7 @@
     answer_by_s = loop.time() + wait_s + ANSWER_MARGIN_S - DRAIN_S
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(answer_by_s):
-            while engine.open_requests or downstream.has_unsent:
+            while engine.open_requests or downstream.has_undelivered:
                 await asyncio.sleep(POLL_INTERVAL_S)
     engine.answer_all()
     # From here on new requests are rejected at once, and idle connections are closed.
--- a/magpieshift/sockets.py
+++ b/magpieshift/sockets.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import socket
 import struct
+import termios
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
@@ -32,6 +34,8 @@
 ACCEPT_PAUSE_S = 0.05
 """Pause before accepting again after descriptors ran out. A shorter one busy-loops, a longer one leaves
 clients waiting."""
+OUTPUT_QUEUE_SIZE = struct.Struct("i")
+"""Format of the answer to ``TIOCOUTQ``."""
 ATTACH_FILTER = getattr(socket, "SO_ATTACH_REUSEPORT_CBPF", 51)
 """Linux's ``SO_ATTACH_REUSEPORT_CBPF``, which not every Python version defines."""
 BPF_RETURN = 0x06
@@ -85,6 +89,19 @@
         return b""
 
 
+def undelivered_bytes(sock: socket.socket) -> int:
+    """Number of bytes that the kernel has accepted and the peer has not acknowledged; 0 if the kernel cannot
+    tell.
+
+    A close does not take them back, but a reset does: the peer then never receives them.
+    """
+    try:
+        (size,) = OUTPUT_QUEUE_SIZE.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(OUTPUT_QUEUE_SIZE.size)))
+    except OSError:
+        return 0
+    return int(size)
+
+
 class LingeringClose:
     """Closes connections of clients and operators, and owns their sockets until they are closed.
 
@@ -159,6 +176,11 @@
         """Whether data or the peer's close has been received and not read yet."""
         return not self.closed() and peek_byte(self.socket) is not None
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Number of bytes handed to the kernel that the peer has not acknowledged; 0 once closed."""
+        return 0 if self.closed() else undelivered_bytes(self.socket)
+
     def close_fd(self) -> None:
         """Hand the socket over to the lingering close (called by Tornado)."""
         sock = self.socket
--- a/tests/downstream/server_case.py
+++ b/tests/downstream/server_case.py
@@ -22,7 +22,12 @@
 
 
 class FakeStream:
-    """Reads come from ``input``; a write stays unsent until the test completes its future in ``written``."""
+    """Reads come from ``input``; a write stays unsent until the test completes its future in ``written``.
+
+    What was sent counts as delivered, but for ``undelivered_bytes``.
+    """
+
+    undelivered_bytes = 0
 
     def __init__(self) -> None:
         self.input: asyncio.Queue[bytes] = asyncio.Queue()
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -91,11 +91,11 @@
     async def test_bytes_that_were_sent_are_no_longer_counted(self) -> None:
         client = await self.connect()
         (await self.send_request(client, 1))(Response(Verdict.SERVED, b"copy"))
-        self.assertTrue(self.server.has_unsent)
+        self.assertTrue(self.server.has_undelivered)
         for _, done in client.written:
             done.set_result(None)
         await self.run_event_loop()
-        self.assertEqual((self.server.held_bytes, self.server.has_unsent), (0, False))
+        self.assertEqual((self.server.held_bytes, self.server.has_undelivered), (0, False))
 
     async def test_a_write_to_a_disconnected_client_does_not_raise(self) -> None:
         """Guards against an exception in the callback of an endpoint's response.
