Hold a closing connection as long as its peer receives its last answers

A client that is let go for another reason (a bad or overdue frame behind slow answers) lost what the system still held for it, as its next bytes were answered with a reset; so did the oldest of more than sixteen such connections.

Cause: LingeringClose closed each socket for good 0.5 s after the half-close, whatever was still on its way.

Evidence: tests/test_sockets.py, LingeringCloseTest: 3 of 4 failed before (a reset in place of the rest; the wrong one closed for room; no bound in all). The fourth, a peer that reads nothing, passed before and passes now.

Why this works: the time begins anew while TIOCOUTQ tells of fewer bytes, up to 10 s in all, and room is made by a connection whose peer has received everything. What is cut off all the same is logged with its size.

--- a/magpieshift/admin/server.py
+++ b/magpieshift/admin/server.py
@@ -55,7 +55,7 @@
 
     def open(self, address: Address) -> None:
         """Start to listen at an address; raises ``OSError`` if it is not available."""
-        self._listener = Listener(listen_socket(*address), self._accepted, self._closing.drop_oldest)
+        self._listener = Listener(listen_socket(*address), self._accepted, self._closing.drop_one)
         log.info("admin server started", extra=fields(console="{}:{}".format(*address)))
 
     def close(self) -> None:
--- a/magpieshift/downstream/server.py
+++ b/magpieshift/downstream/server.py
@@ -223,8 +223,7 @@
         return False
 
     def _free_descriptor(self) -> None:
-        """Free a descriptor: end the oldest lingering close, or that of an idle connection closed for
-        this."""
+        """Free a descriptor: end a lingering close, or that of an idle connection closed for this."""
         if len(self._closing) == 0:
             self._close_one_idle()
-        self._closing.drop_oldest()
+        self._closing.drop_one()
--- a/magpieshift/sockets.py
+++ b/magpieshift/sockets.py
@@ -9,6 +9,7 @@
 import struct
 import termios
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from tornado.iostream import IOStream
 
@@ -17,10 +18,12 @@
 log = logging.getLogger(__name__)
 
 LINGER_TIMEOUT_S = 0.5
-"""How long a peer may take to read its last answers and close. A shorter time loses answers on slow links, a
-longer one holds descriptors."""
+"""How long a peer may receive nothing more of its last answers, and after that take to close. A shorter time
+loses answers on slow links, a longer one holds descriptors."""
+MAX_LINGER_S = 10.0
+"""How long a lingering close may take in all, for a peer that receives its last answers slowly."""
 MAX_LINGERING = 16
-"""Maximum number of connections in a lingering close; above it the oldest is closed at once."""
+"""Maximum number of connections in a lingering close; above it one of them is closed at once."""
 MAX_DISCARDED_BYTES = 1 << 20
 """Maximum data read and discarded from one connection while it closes. A peer that sends more is not waiting
 for an answer."""
@@ -102,22 +105,41 @@
     return int(size)
 
 
+def _undelivered_before_end(sock: socket.socket) -> int:
+    """Undelivered bytes of a half-closed socket; the kernel counts the end of the stream as one byte more."""
+    return max(0, undelivered_bytes(sock) - 1)
+
+
+@dataclass(slots=True)
+class _Close:
+    """The lingering close of one socket."""
+
+    timer: asyncio.TimerHandle
+    """Checks whether the peer still receives."""
+    drop_at_s: float
+    """Time of the event loop's clock after which the socket is not held any longer."""
+    undelivered_bytes: int
+    """Number of bytes that the peer had not acknowledged at the last check."""
+    discardable_bytes: int = MAX_DISCARDED_BYTES
+    """Number of bytes that may still be read and discarded."""
+
+
 class LingeringClose:
     """Closes connections of clients and operators, and owns their sockets until they are closed.
 
     Closing a socket that has unread data resets the connection, and the peer loses answers it has not read
     yet. So the socket is half-closed, and received data is discarded until the peer closes too, with limits
-    on the time, on the bytes per connection and on the number of connections.
+    on the time, on the bytes per connection and on the number of connections. The time begins anew while the
+    peer receives what the kernel still holds for it.
     """
 
     def __init__(self, max_open: int = MAX_LINGERING) -> None:
         self.max_open = max_open
         """Maximum number of sockets held in a lingering close."""
-        self._timers: dict[socket.socket, asyncio.TimerHandle] = {}  # by socket, oldest first
-        self._discardable_bytes: dict[socket.socket, int] = {}  # remaining allowance by socket
+        self._closes: dict[socket.socket, _Close] = {}  # oldest first
 
     def __len__(self) -> int:
-        return len(self._timers)
+        return len(self._closes)
 
     def begin(self, sock: socket.socket) -> None:
         """Start the lingering close of a socket; data buffered in the kernel is still sent."""
@@ -125,41 +147,57 @@
             sock.shutdown(socket.SHUT_WR)
         except OSError:  # reset or never connected: no peer to wait for
             return sock.close()
-        while len(self._timers) >= self.max_open:
-            self.drop_oldest()
+        while len(self._closes) >= self.max_open:
+            self.drop_one()
         loop = asyncio.get_running_loop()
-        self._timers[sock] = loop.call_later(LINGER_TIMEOUT_S, self._drop, sock)
-        self._discardable_bytes[sock] = MAX_DISCARDED_BYTES
+        timer = loop.call_later(LINGER_TIMEOUT_S, self._check_delivery, sock)
+        self._closes[sock] = _Close(timer, loop.time() + MAX_LINGER_S, _undelivered_before_end(sock))
         loop.add_reader(sock.fileno(), self._discard, sock)
         self._discard(sock)  # the peer has usually closed already
         return None
 
-    def drop_oldest(self) -> None:
-        """Close the socket held longest, if any, to release its descriptor."""
-        if self._timers:
-            self._drop(next(iter(self._timers)))
+    def drop_one(self) -> None:
+        """Close one held socket, if any, to release its descriptor: the oldest whose peer has received
+        everything, or else the oldest."""
+        delivered = (sock for sock in self._closes if not _undelivered_before_end(sock))
+        sock = next(delivered, next(iter(self._closes), None))
+        if sock is not None:
+            self._drop(sock)
 
     def close(self) -> None:
         """Close all held sockets at once."""
-        while self._timers:
-            self.drop_oldest()
+        for sock in list(self._closes):
+            self._drop(sock)
+
+    def _check_delivery(self, sock: socket.socket) -> None:
+        """Close a held socket, unless its peer has received something since the last check."""
+        close = self._closes[sock]
+        undelivered = _undelivered_before_end(sock)
+        loop = asyncio.get_running_loop()
+        if undelivered >= close.undelivered_bytes or loop.time() >= close.drop_at_s:
+            if undelivered:
+                log.info("connection closed before delivery", extra=fields(undelivered_bytes=undelivered))
+            self._drop(sock)
+            return
+        close.undelivered_bytes = undelivered
+        close.timer = loop.call_later(LINGER_TIMEOUT_S, self._check_delivery, sock)
 
     def _discard(self, sock: socket.socket) -> None:
-        while sock in self._timers:
+        while sock in self._closes:
             try:
                 size = len(sock.recv(READ_CHUNK_BYTES))
             except BlockingIOError:
                 return
             except OSError:
                 size = 0
-            self._discardable_bytes[sock] -= size
-            if size == 0 or self._discardable_bytes[sock] <= 0:
+            close = self._closes[sock]
+            close.discardable_bytes -= size
+            if size == 0 or close.discardable_bytes <= 0:
                 self._drop(sock)
 
     def _drop(self, sock: socket.socket) -> None:
         """Close a held socket. Only this method releases it."""
-        self._timers.pop(sock).cancel()
-        del self._discardable_bytes[sock]
+        self._closes.pop(sock).timer.cancel()
         asyncio.get_running_loop().remove_reader(sock.fileno())
         sock.close()
 
