End a rollout's run when the end of a step cannot be recorded

An unexpected error while the end of a step was being recorded ended the step's task unseen, and the coordinator waited for that step for ever.

Cause: _Run._step expects a JournalError alone there, and nobody looks at the task.

Evidence: tests/rollout/test_runner.py fails before (the task raises, the coordinator is never told, 1 s) and passes now.

--- a/magpieshift/rollout/runner.py
+++ b/magpieshift/rollout/runner.py
@@ -208,6 +208,9 @@
         except JournalError as err:
             # without a journal no further decision may be carried out
             self._coordinator.supersede(str(err))
+        except Exception as err:  # the run would wait forever for a step that has ended unseen
+            log.exception("rollout step raised an exception")
+            self._coordinator.supersede(f"{type(err).__name__}: {err}")
 
     def _publish(self, verdict: Verdict) -> Mapping[str, Any]:
         """Write the status and a line of history, and return the status."""
