Forget a request when it is over, not at its deadline

Cause: RequestTable kept every request with closures and timer until its deadline, however it had ended, and the policy's heap of due times kept an entry for each as long. What is held grew with the rate times the deadline.

Why this works: after its end a request can only be named by actions of the batch in which the policy learns of it. It leaves the table two iterations of the event loop later, with its timer; an attempt decided before is still settled, which a test holds. The policy's heap is searched for ended requests when it has over 4,096 entries and eight for each open one.

Tests changed: engine_case.FakeClock numbers its timers, as equal numbers made them compare functions; the hedging test looks at the request it has kept, as the table no longer has it, and at the empty table.

--- a/magpieshift/engine/engine.py
+++ b/magpieshift/engine/engine.py
@@ -82,7 +82,7 @@
         self.endpoints = EndpointTable(self, post_event)
         """Owner of the endpoint list."""
         self.requests = RequestTable(clock, self.in_force, self, post_event, max_body_bytes)
-        """Owner of all requests, each kept until its deadline."""
+        """Owner of all requests, each kept until shortly after its end."""
         attempts = Attempts(clock, upstream, self.requests, self.endpoints, self.in_force, self, post_event)
         self.requests.cancel_attempts = attempts.cancel_all
         self.policy_calls.executor = PolicyActions(
--- a/magpieshift/engine/open_request.py
+++ b/magpieshift/engine/open_request.py
@@ -31,8 +31,7 @@
 
 @dataclass(slots=True, eq=False)
 class OpenRequest:
-    """A client request. It stays in the table until its deadline, even when closed, so that attempt numbers
-    are not reused."""
+    """A client request, open or just closed."""
 
     number: int
     """Its number in the policy's events and actions."""
@@ -48,6 +47,8 @@
     """Unix microseconds; a request still open at this time gets the fallback answer."""
     before_write: Callable[[], None]
     """Called right before an attempt is written, to read a disconnect or cancellation already received."""
+    deadline_timer: TimerHandle | None = None
+    """Fires at the deadline; None once the request is closed."""
     owns_request_id: bool = False
     """Whether it has reserved its request id, which no other open request may then use."""
     is_admitted: bool = False
--- a/magpieshift/engine/request_table.py
+++ b/magpieshift/engine/request_table.py
@@ -25,8 +25,12 @@
 
 
 class RequestTable:
-    """Owner of all requests, kept until their deadlines; each gets exactly one final answer, unless its
-    client disconnects."""
+    """Owner of all requests; each gets exactly one final answer by its deadline, unless its client
+    disconnects.
+
+    A request that is closed stays in the table for two iterations of the event loop: the policy learns of its
+    end in the next batch, and may name it in the actions of that batch still.
+    """
 
     def __init__(
         self,
@@ -48,6 +52,11 @@
         self.cancel_attempts: Callable[[OpenRequest], None] | None = None
         """Cancels all attempts of a request; set once, while the engine is built."""
         self._open_ids: set[str] = set()
+        self._closed: list[int] = []
+        """Numbers of the requests closed since the last iteration of the event loop began."""
+        self._leaving: list[int] = []
+        """Numbers of those closed in the iteration before, which the policy can no longer name."""
+        self._removal_scheduled = False
         self._clock = clock
         self._in_force = in_force
         self._hooks = hooks
@@ -77,7 +86,7 @@
         self.by_number[entry.number] = entry
         self.open_requests += 1
         self.held_body_bytes += len(request.body)
-        self._clock.after(time_left_us, lambda: self._expire(entry))
+        entry.deadline_timer = self._clock.after(time_left_us, lambda: self._expire(entry))
         if is_duplicate:
             # Endpoints identify a request by its id and would take this one for another attempt of the open
             # one.
@@ -132,7 +141,8 @@
         return None if entry is None or entry.is_closed else entry
 
     def class_numbers_in_use(self) -> set[int]:
-        """Numbers of the classes of all requests in the table."""
+        """Numbers of the classes of all requests in the table, which are the open ones and those that the
+        policy may still name."""
         return {entry.request.class_index for entry in self.by_number.values()}
 
     def cancel(self, number: int) -> None:
@@ -182,6 +192,7 @@
         self.cancel_attempts(entry)
         if entry.request.body:
             entry.request = replace(entry.request, body=b"")
+        self._remove_later(entry)
         if response is not None and reply is not None:
             # An error while answering the client must not propagate into the connection of the endpoint.
             try:
@@ -193,11 +204,28 @@
         self._clock.soon(lambda: self.answer(entry.number, response))
 
     def _expire(self, entry: OpenRequest) -> None:
-        """At the deadline, answer the request if it is still open, and remove it from the table."""
-        if not entry.is_closed:
-            log.warning(
-                "deadline exceeded",
-                extra=fields(request_id=entry.request.request_id, attempts=entry.attempts_started),
-            )
-            self.answer_undecided(entry)
-        del self.by_number[entry.number]
+        """At the deadline, answer the request, which is still open."""
+        log.warning(
+            "deadline exceeded",
+            extra=fields(request_id=entry.request.request_id, attempts=entry.attempts_started),
+        )
+        self.answer_undecided(entry)
+
+    def _remove_later(self, entry: OpenRequest) -> None:
+        """Cancel a closed request's timer, and remove it once the policy can no longer name it."""
+        if entry.deadline_timer is not None:
+            entry.deadline_timer.cancel()
+            entry.deadline_timer = None
+        self._closed.append(entry.number)
+        if not self._removal_scheduled:
+            self._removal_scheduled = True
+            self._clock.soon(self._remove_leaving)
+
+    def _remove_leaving(self) -> None:
+        for number in self._leaving:
+            del self.by_number[number]
+        self._leaving = self._closed
+        self._closed = []
+        self._removal_scheduled = bool(self._leaving)
+        if self._removal_scheduled:
+            self._clock.soon(self._remove_leaving)
--- a/magpieshift/policy/router_policy.py
+++ b/magpieshift/policy/router_policy.py
@@ -30,6 +30,11 @@
 ANSWER_MARGIN_TICKS = 2
 """Ticks between the final answer and the client's deadline: one for the timer's delay, one for delivery of
 the answer."""
+MIN_TIMER_SWEEP = 4096
+"""Number of entries in ``timers`` up to which those of requests that are over are not searched for. They take
+half a megabyte."""
+MAX_TIMERS_PER_REQUEST = 8
+"""Number of entries for each open request above which that search pays; an open request has fewer."""
 NO_DEADLINE_US = (1 << 64) - 1
 """Added to a request's ``answer_by_us`` to disable it; larger than any timestamp."""
 
@@ -55,6 +60,9 @@
         # entries of requests that are over: each would cause a timer event with nothing to do
         while timers and timers[0][1] not in self.requests:
             heapq.heappop(timers)
+        if len(timers) > MIN_TIMER_SWEEP + MAX_TIMERS_PER_REQUEST * len(self.requests):
+            self.timers = timers = [timer for timer in timers if timer[1] in self.requests]
+            heapq.heapify(timers)
         if timers and (self.next_timer_us <= self.now_us or timers[0][0] < self.next_timer_us):
             self.next_timer_us = max(timers[0][0], self.now_us + 1)
             self.actions.append(SetTimer(self.next_timer_us - self.now_us, 0))
--- a/tests/engine/engine_case.py
+++ b/tests/engine/engine_case.py
@@ -1,5 +1,6 @@
 """Test case with an engine on a fake clock and a fake upstream, without sockets."""
 
+import itertools
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -42,12 +43,13 @@
     def __init__(self) -> None:
         self.now = 1_764_576_000 * SECOND
         self.timers: list[tuple[int, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
 
     def now_us(self) -> int:
         return self.now
 
     def after(self, delay_us: int, call: Callable[[], None]) -> Any:
-        timer = (self.now + max(delay_us, 0), len(self.timers), call)
+        timer = (self.now + max(delay_us, 0), next(self._numbers), call)
         self.timers.append(timer)
         return mock.Mock(cancel=lambda: self.timers.remove(timer) if timer in self.timers else None)
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -80,6 +80,7 @@
                     replace(self.engine.in_force.settings, hedged_requests=allowed), frozenset()
                 )
                 number = self.submit(request)
+                entry = self.engine.requests.by_number[number]
                 self.forced_actions = [SendPlainRequest(number, target, SECOND)]
                 self.engine.purged("", 1, self.clock.now)
                 self.engine.flush()
@@ -93,7 +94,7 @@
                 self.assertEqual(
                     {end[:2] for end in self.attempt_ends()}, {(0, Outcome.CANCELLED), (1, Outcome.OK)}
                 )
-                self.assertEqual(self.engine.requests.by_number[number].in_flight, [])
+                self.assertEqual((entry.in_flight, self.engine.requests.by_number), ([], {}))
 
     def test_a_retry_names_the_cancelled_attempt_whose_cancellation_must_be_read_first(self) -> None:
         """Guards against two executions at once, if a retry is received before the cancellation of the first
