--- a/magpieshift/cli/main.py
+++ b/magpieshift/cli/main.py
@@ -15,6 +15,7 @@
     lab_capacity,
     lab_episode,
     lab_fleet,
+    lab_floods,
     lab_rollout,
     lab_router,
     lab_scale,
@@ -81,6 +82,7 @@
     lab_episode.demo,
     lab_scale.lab_scale,
     lab_scale.scale_process,
+    lab_floods.floods,
     lab_soak.soak,
 ):
     lab.add_command(_command)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -214,6 +214,11 @@
         ("quiet --folder {under}", "--folder"),
     ],
     "lab trials": [("--runs 0", "--runs"), ("--routers 17", "--routers"), ("--folder {text}", "--folder")],
+    "lab floods": [
+        ("--kind none", "'none' is not one of"),
+        ("--seconds 0", "--seconds: found '0'"),
+        ("--against {none}", "--against"),
+    ],
     "lab soak": [
         ("--seeds 0", "--seeds: found '0'"),
         ("--parallel 9", "--parallel: found '9', expected a whole number from 1 to 8"),
