Keep an installation without parents when kinds are renumbered

What callers saw: nothing yet. WIRE has ShieldKind -1 where a site has no parents; a reload that changes the order of MachineTypes made the kind that stands last the parents', and the running settings showed it as theirs from the start.

Cause: a negative number was used as an index.

Evidence: InstallationWithoutParents in tests/engine/test_class_numbers.py fails before ((0, 2) != (-1, 2)).

--- a/magpieshift/config/shown_names.py
+++ b/magpieshift/config/shown_names.py
@@ -86,7 +86,8 @@
         shown[name] = {zone: value for zone, value in zip(zones, shown[name], strict=True) if zone}
     shown["zone_hub"] = {zone: zones[hub] for zone, hub in shown["zone_hub"].items()}
     for name in ("parent_kind", "origin_kind"):
-        shown[name] = names.kinds[shown[name]]
+        number = shown[name]
+        shown[name] = names.kinds[number] if number >= 0 else ""  # negative: there are no parents
     shown["report_columns"] = list(settings.load_report_columns)
     shown["classes"] = {name: _class_by_name(classes[name]) for name in sorted(classes)}
     return shown
--- a/magpieshift/engine/name_numbers.py
+++ b/magpieshift/engine/name_numbers.py
@@ -48,6 +48,9 @@
     def zone_number(index: int) -> int:
         return zones.index(names.zones[index])
 
+    def kind_number(index: int) -> int:
+        return kinds.index(names.kinds[index]) if index >= 0 else index  # negative: there are no parents
+
     settings = replace(
         settings,
         zone=zone_number(settings.zone),
@@ -61,7 +64,7 @@
         zone_link_kb_per_s=tuple(
             settings.zone_link_kb_per_s[index] if index >= 0 else 0.0 for index in document_index
         ),
-        parent_kind=kinds.index(names.kinds[settings.parent_kind]),
-        origin_kind=kinds.index(names.kinds[settings.origin_kind]),
+        parent_kind=kind_number(settings.parent_kind),
+        origin_kind=kind_number(settings.origin_kind),
     )
     return replace(new, settings=settings, names=replace(names, zones=zones, kinds=kinds))
--- a/tests/engine/test_class_numbers.py
+++ b/tests/engine/test_class_numbers.py
@@ -8,7 +8,7 @@
 
 from magpieshift import parse
 from magpieshift.engine.class_numbers import initial_class_numbers, renumber_classes
-from magpieshift.engine.name_numbers import renumber
+from magpieshift.engine.name_numbers import align_numbers, renumber
 from tests.recorded.exchange import config
 
 PORTS = {"cache": "127.0.0.1:1", "origin": "127.0.0.1:2", "log": "127.0.0.1:3"}
@@ -71,5 +71,15 @@
             old = new
 
 
+class InstallationWithoutParents(unittest.TestCase):
+    def test_its_document_gets_no_parents_when_kinds_are_renumbered(self) -> None:
+        """Guards against a kind of cache that becomes that of the parents by a reload."""
+        names = replace(DOCUMENT.names, kinds=("source", "box"))
+        new_settings = replace(DOCUMENT.settings, parent_kind=-1, origin_kind=0)
+        aligned = align_numbers(DOCUMENT, replace(DOCUMENT, names=names, settings=new_settings))
+        self.assertEqual(aligned.names.kinds, ("box", "", "source"))
+        self.assertEqual((aligned.settings.parent_kind, aligned.settings.origin_kind), (-1, 2))
+
+
 if __name__ == "__main__":
     unittest.main()
