Check a configuration file as a whole, and name the setting in each rejection

A negative AimStretch or memory_mb that is no number ended the start in a traceback.

Cause: the reader checked values one by one, and no list against the others.

Why this works: one function checks lengths, references and names where the file is read, so for the start (exit 2) and for SIGHUP (the old document stays) alike. Missing settings are told by the reader as before. Documents of the control channel refer by name and were checked already. The transaction's own case has a test with such a document, as files no longer bring one.

--- a/magpieshift/config/platform_file.py
+++ b/magpieshift/config/platform_file.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from magpieshift.config.consistency import check_consistency
 from magpieshift.config.document import MIN_SOCKETS, Config, Document, Limits, Names
 from magpieshift.config.errors import ConfigError
 from magpieshift.config.values import parse_address
@@ -58,8 +59,10 @@
     """
     nested = _get(data, "settings", Mapping)
     _check_settings(data)
+    check_consistency(nested)
     settings = _read_settings(nested)
     seed = _read_seed(data)
+    _check_positive(data, "limits.memory_mb")
     limits = Limits(_get(data, "limits.memory_mb", NUMBER), _get(data, "limits.sockets", int))
     if limits.sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets: found {limits.sockets}, expected at least {MIN_SOCKETS}")
@@ -159,6 +162,12 @@
         raise ConfigError(f"{path}: found {value!r}, expected a number above zero")
 
 
+def _check_not_negative(data: Mapping[str, Any], path: str) -> None:
+    value = _get(data, path, NUMBER)
+    if not 0 <= value < math.inf:
+        raise ConfigError(f"{path}: found {value!r}, expected a number that is not negative")
+
+
 def _check_settings(data: Mapping[str, Any]) -> None:
     """Reject settings that the parser of ``simulator_settings`` accepts, but that the router cannot run
     with."""
@@ -172,5 +181,7 @@
         seen.add(name)
         for setting in ("GiveUpUs", "AimUs"):
             _check_positive(data, f"settings.Classes.{index}.{setting}")
+        if "AimStretch" in data["settings"]["Classes"][index]:
+            _check_not_negative(data, f"settings.Classes.{index}.AimStretch")
     if not seen:
         raise ConfigError("settings.Classes: found none, expected at least one")
--- a/tests/test_config_reload.py
+++ b/tests/test_config_reload.py
@@ -6,12 +6,13 @@
 import copy
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from magpieshift.config import parse
 from magpieshift.config_reload import FileReload
-from magpieshift.config_transaction import Prepared
+from magpieshift.config_transaction import PreparationError, Prepared
 from magpieshift.edge_router import EdgeRouter
 from magpieshift.policy.settings import Idempotency
 from tests.recorded.exchange import config
@@ -69,6 +70,17 @@
             await asyncio.wait([applying])
             router.close()
 
+    async def test_a_document_that_cannot_be_numbered_is_rejected(self) -> None:
+        """Guards against an error of the numbering that ends whoever applies the document."""
+        router = EdgeRouter(parse(DATA))
+        self.addCleanup(router.close)
+        document = router.document
+        for names in (replace(document.names, zones=()), replace(document.names, kinds=("box",))):
+            with self.subTest(names), self.assertLogs("magpieshift.config_transaction", "ERROR"):
+                with self.assertRaisesRegex(PreparationError, "names: IndexError"):
+                    await router.prepare(replace(document, names=names))
+                self.assertIs(router.document, document)
+
     async def until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             while not condition():
