Stop a relay service once the end statuses of its streams are sent

Cause: RelayService.stop ended the streams and stopped the server with a grace of 0, which cancels calls whose end status is still being sent.

Evidence: with the end status delayed by 50 ms the new test failed (UNAVAILABLE, 1 run) and passes now.

Why this works: the streams are ended before, so the server's stop returns as soon as their handlers have; half a second bounds it.

--- a/magpieshift/relay/service.py
+++ b/magpieshift/relay/service.py
@@ -39,6 +39,8 @@
 
 TICK_S = 0.05
 """Interval between checks of the streams' timers: a fifth of the batch interval."""
+END_TIMEOUT_S = 0.5
+"""How long the streams' end statuses may take to be sent when the service stops."""
 JOIN_TIMEOUT_S = 3.0
 """Time-out for the join, after which a stream is ended; as long as a client waits for a connection."""
 MAX_STREAMS = 8192
@@ -128,11 +130,12 @@
             stream.end(Code.UNAVAILABLE, reason)
 
     async def stop(self) -> None:
-        """End all streams and stop the server at once."""
+        """End all streams and stop the server once their end statuses are sent, or after
+        ``END_TIMEOUT_S``."""
         self._ticking.cancel()
         self.end_streams("ending")
         if self._server is not None:
-            await self._server.stop(0)
+            await self._server.stop(END_TIMEOUT_S)
 
     async def _status(self, request: bytes, context: Any) -> bytes:
         return bytes(self._make_report().SerializeToString())
--- a/tests/relay/test_drivers.py
+++ b/tests/relay/test_drivers.py
@@ -29,9 +29,12 @@
 from magpieshift.relay.instructions import ApplyEntries
 from magpieshift.relay.messages import NO_EPOCH, Batch, ConfigurationChange, Epoch, Join, Progress
 from magpieshift.relay.node import RelayNode, RelayOptions, SourceNode
-from magpieshift.relay.service import MAX_UPSTREAM_BYTES, StreamDriver
+from magpieshift.relay.service import MAX_UPSTREAM_BYTES, RelayService, StreamDriver
 from tests.relay.driver_fixtures import PATIENCE_S, RelayCase, Router, loopback_address
 
+ABORT_DELAY_S = 0.05
+"""Time until the end status of a stream is sent, where a test delays it."""
+
 
 class FailingRelay(RelayNode):
     """A relay that ends all its streams after receiving a batch, before it sends that batch to its
@@ -261,6 +264,30 @@
             await running
         self.assertIs(await late.code(), grpc.StatusCode.FAILED_PRECONDITION)
 
+    async def test_the_end_status_of_a_stream_arrives_though_its_source_stops(self) -> None:
+        """Guards against a follower that is told of a broken connection in place of a newer source."""
+        follow = RelayService._follow
+
+        async def follow_with_slow_end(service: RelayService, requests: Any, context: Any) -> None:
+            await follow(service, requests, SlowlyAbortedContext(context))
+
+        with mock.patch.object(RelayService, "_follow", follow_with_slow_end):
+            await self.test_a_source_ends_when_a_follower_knows_a_newer_one()
+
+
+class SlowlyAbortedContext:
+    """The context of a stream whose end status takes some time until it is sent."""
+
+    def __init__(self, context: Any) -> None:
+        self._context = context
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._context, name)
+
+    async def abort(self, code: Any, details: str) -> None:
+        await asyncio.sleep(ABORT_DELAY_S)
+        await self._context.abort(code, details)
+
 
 class ZeroDelayRandom(random.Random):
     """Draws 0 for every random delay."""
