Have all endpoints hang at the end of three soak plans in ten

In a plan in which all endpoints hang from just before SIGTERM each request that is taken then stays open until its deadline. The share is drawn last, so the rest of every seed's plan is as it was.

--- a/magpieshift/lab/soak/plan.py
+++ b/magpieshift/lab/soak/plan.py
@@ -12,6 +12,8 @@
 """Possible intervals in seconds between two signals of a series."""
 MAX_SERIES = 4
 """Maximum number of signals in a series."""
+ALL_HANG_SHARE = 0.3
+"""Share of the plans in which all endpoints hang at the end."""
 MAX_IDLE_CLIENTS = 150
 """Maximum number of idle clients. All clients together use less than a third of the settings' descriptors."""
 
@@ -77,6 +79,8 @@
     """Reloads while the router serves."""
     end_signals: Sequence[TimedSignal] = field(default=())
     """SIGTERM and the signals after it."""
+    all_hang: bool = False
+    """Whether all endpoints hang from just before SIGTERM: requests are then open until their deadlines."""
 
     def describe(self) -> str:
         """Return the plan as one line."""
@@ -91,10 +95,11 @@
             if timed
         )
         replaced = ", replaced" if self.is_replaced else ""
+        hanging = ", all endpoints hang at the end" if self.all_hang else ""
         return (
             f"{self.start_mode}, fault {self.fault}, caches +{self.cache_delay_ms:.0f} ms, origin "
-            f"+{self.origin_delay_ms:.0f} ms, {self.rate:.0f}/s, {self.idle_clients} idle clients{replaced}, "
-            f"serving {self.serving_s:.1f} s; {signals}"
+            f"+{self.origin_delay_ms:.0f} ms, {self.rate:.0f}/s, {self.idle_clients} idle clients"
+            f"{replaced}{hanging}, serving {self.serving_s:.1f} s; {signals}"
         )
 
 
@@ -123,4 +128,6 @@
         start_signals=_draw_series(rand, (signal.SIGHUP,), 1) if rand.random() < 0.3 else (),
         reloads=_draw_series(rand, (signal.SIGHUP,), 0),
         end_signals=[end_first, *end_rest],
+        # drawn last, so that the other parts of each seed's plan stay as they were
+        all_hang=rand.random() < ALL_HANG_SHARE,
     )
--- a/magpieshift/lab/soak/soak_run.py
+++ b/magpieshift/lab/soak/soak_run.py
@@ -164,6 +164,10 @@
             self._add_finding(f"a process ended with exit code {code}, expected 0")
 
     def _begin_fault(self) -> None:
+        if self._plan.all_hang:
+            for name in self._endpoints.places:
+                fault = self._endpoints.inject_fault("hang", name, FAULT_DURATION_S)
+                self._faults.append(asyncio.ensure_future(fault))
         match self._plan.fault:
             case SoakFault.HANG | SoakFault.DIE:
                 fault = self._endpoints.inject_fault(str(self._plan.fault), "box1", FAULT_DURATION_S)
