--- a/magpieshift/lab/capacity/processor.py
+++ b/magpieshift/lab/capacity/processor.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import gc
-import re
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
-from pathlib import Path
+
+from magpieshift.lab.process_memory import MemoryKind, memory_bytes
 
 CPUCLOCK_SCHED = 2  # kernel constant that selects a process's clock of user and system time
 
@@ -20,11 +20,7 @@
 
 def resident_mb(pid: int) -> float:
     """Resident memory of a process in megabytes (10**6 bytes); ``OSError`` if the process has ended."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    found = re.search(r"VmRSS:\s+(\d+) kB", status)
-    if found is None:
-        raise ProcessLookupError(f"found no VmRSS of process {pid}: it has ended")
-    return int(found[1]) * 1024 / 1e6
+    return memory_bytes(pid, MemoryKind.RESIDENT) / 1e6
 
 
 class ProcessorTime:
--- a/magpieshift/lab/experiments/floods.py
+++ b/magpieshift/lab/experiments/floods.py
@@ -22,6 +22,7 @@
 from magpieshift.lab.capacity.processor import processor_s
 from magpieshift.lab.emulators.loopback_installation import LoopbackInstallation
 from magpieshift.lab.experiments.processor_cost import platform_json
+from magpieshift.lab.process_memory import MemoryKind, memory_mb
 from magpieshift.lab.soak.router_process import RouterProcess
 
 OWN_PROGRAM = ("-m", "magpieshift")
@@ -84,14 +85,6 @@
         }
 
 
-def own_memory_mb(pid: int) -> float:
-    """Anonymous memory of a process, which the platform limits; ``OSError`` if the process has ended."""
-    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024
-    raise ProcessLookupError(f"found no RssAnon of process {pid}: it has ended")
-
-
 class FloodClient:
     """A client that sends as fast as the router answers, and reads whatever it is sent."""
 
@@ -205,14 +198,14 @@
 
 async def _flood(router: RouterProcess, kind: FloodKind, port: int, seconds: float) -> FloodResult:
     pid = router.process.pid
-    memory_before_mb = memory_peak_mb = own_memory_mb(pid)
+    memory_before_mb = memory_peak_mb = memory_mb(pid, MemoryKind.ANONYMOUS)
     processor_before_s = processor_spent_s = processor_s(pid)
     clients = [FloodClient(kind) for _ in range(CLIENTS)]
     started_s = time.monotonic()
     flooding = [asyncio.ensure_future(client.run(port, started_s + seconds)) for client in clients]
     while not all(task.done() for task in flooding) and router.process.returncode is None:
         with contextlib.suppress(OSError):
-            memory_peak_mb = max(memory_peak_mb, own_memory_mb(pid))
+            memory_peak_mb = max(memory_peak_mb, memory_mb(pid, MemoryKind.ANONYMOUS))
             processor_spent_s = processor_s(pid)
         await asyncio.wait(flooding, timeout=SAMPLE_INTERVAL_S)
     await asyncio.gather(*flooding)
--- a/magpieshift/lab/scale/processes.py
+++ b/magpieshift/lab/scale/processes.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import TypeVar
 
+from magpieshift.lab.process_memory import MemoryKind, memory_mb
 from magpieshift.lab.scale.messages import MAX_LINE_BYTES, Failed, Message, Ready, decode, encode
 
 REPLY_TIMEOUT_S = 120.0  # for one reply, the start of all routers of a worker included
@@ -33,10 +34,7 @@
 
 def resident_mb(pid: int) -> float:
     """Resident memory of a process, in MB; ``OSError`` once the process has exited."""
-    for line in Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    raise ProcessLookupError(f"/proc/{pid}/status has no VmRSS line: the process has exited")
+    return memory_mb(pid, MemoryKind.RESIDENT)
 
 
 class Child:
