End a request once where its observer raises

If something raised while a request was being closed, its timer stayed, and the deadline closed it a second time, so that the count of open requests, which a shutdown waits for, was one too low.

Cause: the timer was cancelled after the observer and the attempts, and the deadline no longer looked whether it was open.

Evidence: the new test in tests/engine/test_ended_requests.py failed before (open requests -1) and passes now.

Why this works: the timer goes in the same step as the reply.

--- a/magpieshift/engine/request_table.py
+++ b/magpieshift/engine/request_table.py
@@ -178,6 +178,7 @@
         assert self.cancel_attempts is not None
         reply = entry.reply
         entry.reply = None
+        self._remove_later(entry)
         self.open_requests -= 1
         if entry.owns_request_id:
             self._open_ids.discard(entry.request.request_id)
@@ -192,7 +193,6 @@
         self.cancel_attempts(entry)
         if entry.request.body:
             entry.request = replace(entry.request, body=b"")
-        self._remove_later(entry)
         if response is not None and reply is not None:
             # An error while answering the client must not propagate into the connection of the endpoint.
             try:
--- a/tests/engine/test_ended_requests.py
+++ b/tests/engine/test_ended_requests.py
@@ -97,6 +97,16 @@
         self.assert_nothing_is_kept()
         self.assertEqual({answer.verdict for answer in self.answers}, {Verdict.REJECTED})
 
+    def test_a_request_whose_end_raises_is_ended_once(self) -> None:
+        """Guards against a second end at the deadline, after which the count of open requests is wrong."""
+        number = self.submit()
+        self.engine.request_observer = mock.Mock(request_ended=mock.Mock(side_effect=ZeroDivisionError))
+        with self.assertRaises(ZeroDivisionError):
+            self.engine.cancel(number)
+        self.engine.request_observer = None
+        self.clock.run(5 * SECOND)
+        self.assert_engine_keeps_nothing()
+
     def test_an_attempt_decided_before_the_end_was_known_is_settled(self) -> None:
         """Guards against a slot that the policy never gets back, for want of the ended request."""
         number = self.submit()
