Let the parts of review cases 6 and 9 take the time that their size takes

Cause: with answers faster than the sizes say, and clients that come one after another, the router refused half of the requests of case 6. Change: the clients of case 6 come 0.15 s apart, 12 of 16 read slowly, and caches need 0.77 s for a part of 240,000 bytes.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,9 @@
 import peers2
 
 CLIENTS = 16
-SLOW_CLIENTS = 10
+SLOW_CLIENTS = 12
+COMES_AFTER_S = 0.15
+"""Between two clients."""
 OPEN_REQUESTS = 32
 """The protocol page: up to 32 requests may be open on one connection."""
 PART_BYTES = 240_000
@@ -22,21 +24,26 @@
 MEMORY_MB = 96
 """As in the project's own deploy/magpieshift.sexp; the deployment page allows at most 192."""
 SOCKETS = 512
+SEND_S = 0.77
+"""How long a cache takes to send such a part, at the 310,000 bytes a second of the configuration."""
+SIZE_KB = "4300"
+"""The size of such a part as the simulator counts it: what 0.77 s take at 5,600 KB a second."""
 PATIENCE_S = 60.0
 
 
 async def case(record: peers2.Record) -> bool:
-    """Sixteen clients, each with 32 requests open; with the disruption ten of them read slowly."""
+    """Sixteen clients, each with 32 requests open; with the disruption twelve of them read slowly."""
     ledger = peers2.Ledger()
     dice = random.Random(6)
     caches = [
-        peers2.Cache(record, ledger, f"s-box{number}", cell=number, size=PART_BYTES, delay_s=0.4)
+        peers2.Cache(record, ledger, f"s-box{number}", cell=number, size=PART_BYTES, delay_s=SEND_S)
         for number in range(4)
     ]
-    origin = peers2.Cache(record, ledger, "s-origin", "origin", 9, PART_BYTES, 0.4)
+    origin = peers2.Cache(record, ledger, "s-origin", "origin", 9, PART_BYTES, SEND_S)
     log = peers2.ChangeLog(record)
     router = peers2.Router(record)
     clients: list[peers2.Client] = []
+    requests: list[peers2.Request] = []
     keys = [f"{dice.getrandbits(52):016x}" for _ in range(CLIENTS)]
     parts = {(key, str(part)) for key in keys for part in range(OPEN_REQUESTS)}
     try:
@@ -53,9 +60,11 @@
             client = peers2.Client(record, f"client {number}", router.port, rate, PART_BYTES)
             await client.connect()
             clients.append(client)
-        requests = []
-        for client, key in zip(clients, keys, strict=True):
-            requests += [await client.send("media", 5000, key, part) for part in range(OPEN_REQUESTS)]
+            requests += [
+                await client.send("media", 5000, keys[number], part, m=SIZE_KB)
+                for part in range(OPEN_REQUESTS)
+            ]
+            await asyncio.sleep(COMES_AFTER_S)
         until_s = time.time() + PATIENCE_S
         memory_mb = 0.0
         while time.time() < until_s and not all(each.done.is_set() for each in requests):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,7 +19,11 @@
 BYTES_PER_S = 500_000
 """The operation page: some clients read at most 1 MB a second. With and without the disruption."""
 CLIENTS = 3
-TERM_AFTER_S = 0.6
+SEND_S = 0.77
+"""How long a cache takes to send such a part, at the 310,000 bytes a second of the configuration."""
+SIZE_KB = "4300"
+"""The size of such a part as the simulator counts it: what 0.77 s take at 5,600 KB a second."""
+TERM_AFTER_S = 1.5
 KILL_AFTER_S = 40.0
 """The protocol page: no sooner than the longest deadline (3 s where it is longer) and 0.7 s after SIGTERM."""
 
@@ -29,10 +33,10 @@
     ledger = peers2.Ledger()
     dice = random.Random(9)
     caches = [
-        peers2.Cache(record, ledger, f"s-box{number}", cell=number, size=PART_BYTES, delay_s=0.4)
+        peers2.Cache(record, ledger, f"s-box{number}", cell=number, size=PART_BYTES, delay_s=SEND_S)
         for number in range(4)
     ]
-    origin = peers2.Cache(record, ledger, "s-origin", "origin", 9, PART_BYTES, 0.4)
+    origin = peers2.Cache(record, ledger, "s-origin", "origin", 9, PART_BYTES, SEND_S)
     log = peers2.ChangeLog(record)
     router = peers2.Router(record)
     clients: list[peers2.Client] = []
@@ -51,7 +55,9 @@
             client = peers2.Client(record, f"client {number}", router.port, BYTES_PER_S, PART_BYTES)
             await client.connect()
             clients.append(client)
-            requests += [await client.send("media", 5000, key, part) for part in range(OPEN_REQUESTS)]
+            requests += [
+                await client.send("media", 5000, key, part, m=SIZE_KB) for part in range(OPEN_REQUESTS)
+            ]
         await asyncio.sleep(TERM_AFTER_S)
         term_s = time.time()
         ended_s = 0.0
